cuminwheel: the whole path, thin, as separate processes

A request goes caller, entry, gate, target and back; operators publish to the log; targets announce themselves; nodes learn of each other without a list.

--- /dev/null
+++ b/connection/link/pool.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
+)
+
+// Errors of calls between nodes.
+var (
+	// ErrUnreachable means that no connection could be made.
+	ErrUnreachable = errors.New("peer is unreachable")
+	// ErrNoReply means that the peer may have acted but did not reply in time.
+	ErrNoReply = errors.New("peer did not reply")
+)
+
+// RemoteError is an error that the peer returned.
+type RemoteError struct {
+	Message string
+}
+
+func (e *RemoteError) Error() string { return e.Message }
+
+// idleTimeout closes a connection that has carried no call for so long.
+const idleTimeout = 20 * time.Second
+
+// Pool calls peers by address.
+type Pool struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	client *rpc.Client
+	idle   *time.Timer
+}
+
+// NewPool returns a pool and a function that closes its connections.
+func NewPool() (*Pool, func()) {
+	p := &Pool{peers: map[string]*peer{}}
+	return p, p.close
+}
+
+// Call calls a method of the peer at address. ctx must carry a deadline.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	c, err := p.client(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		p.drop(address, c)
+		return errors.Wrap(ErrNoReply, method)
+	}
+	if call.Error == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(call.Error, &remote) {
+		return &RemoteError{Message: string(remote)}
+	}
+	p.drop(address, c)
+	return errors.Wrapf(ErrNoReply, "%s: %v", method, call.Error)
+}
+
+func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	known, ok := p.peers[address]
+	if ok {
+		known.idle.Reset(idleTimeout)
+		p.mu.Unlock()
+		return known.client, nil
+	}
+	p.mu.Unlock()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	c := rpc.NewClientWithCodec(msgpackrpc.NewClientCodec(conn))
+	return p.keep(address, c), nil
+}
+
+// keep stores the connection unless another call made one first.
+func (p *Pool) keep(address string, c *rpc.Client) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.peers[address]; ok {
+		go c.Close()
+		return known.client
+	}
+	idle := time.AfterFunc(idleTimeout, func() { p.drop(address, c) })
+	p.peers[address] = &peer{client: c, idle: idle}
+	return c
+}
+
+func (p *Pool) drop(address string, c *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.peers[address]; ok && known.client == c {
+		known.idle.Stop()
+		delete(p.peers, address)
+	}
+	go c.Close()
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.peers {
+		known.idle.Stop()
+		delete(p.peers, address)
+		go known.client.Close()
+	}
+}
--- /dev/null
+++ b/connection/link/server.go
@@ -0,0 +1,74 @@
+package link
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/go-faster/errors"
+	msgpackrpc "github.com/hashicorp/net-rpc-msgpackrpc/v2"
+)
+
+// Serve answers calls on l with the methods of each receiver, by its name,
+// and returns a function that stops and closes all connections.
+func Serve(l net.Listener, receivers map[string]any) (func(), error) {
+	s := rpc.NewServer()
+	for name, r := range receivers {
+		if err := s.RegisterName(name, r); err != nil {
+			return nil, errors.Wrapf(err, "register %s", name)
+		}
+	}
+	a := &acceptor{listener: l, server: s, conns: map[net.Conn]bool{}}
+	go a.run()
+	return a.close, nil
+}
+
+type acceptor struct {
+	listener net.Listener
+	server   *rpc.Server
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]bool
+}
+
+func (a *acceptor) run() {
+	for {
+		conn, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !a.track(conn) {
+			conn.Close()
+			return
+		}
+		go a.serve(conn)
+	}
+}
+
+func (a *acceptor) serve(conn net.Conn) {
+	a.server.ServeCodec(msgpackrpc.NewServerCodec(conn))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.conns, conn)
+}
+
+func (a *acceptor) track(conn net.Conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return false
+	}
+	a.conns[conn] = true
+	return true
+}
+
+func (a *acceptor) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	a.listener.Close()
+	for c := range a.conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/process/judgement/history.go
@@ -0,0 +1,61 @@
+package judgement
+
+import (
+	"math"
+	"time"
+)
+
+// history is a decaying histogram of latencies in buckets of equal ratio.
+type history struct {
+	counts [historyBuckets]float32
+	total  float32
+}
+
+const (
+	historyBuckets = 96
+	// historyBase is the upper bound of the first bucket.
+	historyBase = 100 * time.Microsecond
+	// historyRatio is the ratio of the bounds of neighbouring buckets.
+	historyRatio = 1.15
+	// historyWeight is the number of latencies at which older ones are halved.
+	historyWeight = 4000
+)
+
+var logHistoryRatio = math.Log(historyRatio)
+
+func (h *history) add(d time.Duration) {
+	h.counts[historyBucket(d)]++
+	h.total++
+	if h.total < historyWeight {
+		return
+	}
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += h.counts[i]
+	}
+}
+
+// quantile returns the upper bound of the bucket that holds quantile q.
+func (h *history) quantile(q float64) time.Duration {
+	rest := float32(q) * h.total
+	for i, c := range h.counts {
+		rest -= c
+		if rest <= 0 && c > 0 {
+			return bucketBound(i)
+		}
+	}
+	return bucketBound(historyBuckets - 1)
+}
+
+func historyBucket(d time.Duration) int {
+	if d <= historyBase {
+		return 0
+	}
+	i := int(math.Ceil(math.Log(float64(d)/float64(historyBase)) / logHistoryRatio))
+	return min(i, historyBuckets-1)
+}
+
+func bucketBound(i int) time.Duration {
+	return time.Duration(float64(historyBase) * math.Pow(historyRatio, float64(i)))
+}
