--- a/cmd/cuminwheel/standin_caller.go
+++ b/cmd/cuminwheel/standin_caller.go
@@ -18,7 +18,7 @@
 			&cli.StringSliceFlag{Name: "entry", Usage: "entry address of a node; may be repeated", Required: true},
 			&cli.StringSliceFlag{Name: "path", Usage: "path to read; may be repeated", Required: true},
 			&cli.StringSliceFlag{Name: "claim-path", Usage: "path to claim at; may be repeated"},
-			&cli.StringSliceFlag{Name: "audit", Usage: "address of a stand-in target whose counts of claims are read at the end; may be repeated"},
+			&cli.StringSliceFlag{Name: "audit-file", Usage: "--ran-file of a stand-in target, read at the end; may be repeated"},
 			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "requests a second"},
 			&cli.FloatFlag{Name: "claim-share", Value: 0.3, Usage: "share of requests that are claims"},
 			&cli.FloatFlag{Name: "repeat-share", Value: 0.2, Usage: "share of claims sent twice with one key"},
@@ -56,8 +56,8 @@
 	})
 	defer closeLoad()
 	r := l.Run(ctx)
-	if audit := c.StringSlice("audit"); len(audit) > 0 {
-		ran, err := caller.FetchRan(ctx, audit)
+	if audit := c.StringSlice("audit-file"); len(audit) > 0 {
+		ran, err := caller.ReadRan(audit)
 		if err != nil {
 			return err
 		}
--- a/cmd/cuminwheel/standin_target.go
+++ b/cmd/cuminwheel/standin_target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/gate"
@@ -19,6 +20,7 @@
 			textFlag("service", "", "service that the target belongs to"),
 			&cli.IntFlag{Name: "slots", Value: 3, Usage: "requests worked on at once"},
 			&cli.DurationFlag{Name: "work", Value: 20 * time.Millisecond, Usage: "time that a request takes"},
+			textFlag("ran-file", "", "file that gets the key of each claim that begins, for an audit"),
 			&cli.DurationFlag{Name: "cold-start", Usage: "time before the target announces itself"},
 		},
 		Action: runStandinTarget,
@@ -43,9 +45,21 @@
 		sleep(announcing, c.Duration("cold-start"))
 		a.Run(announcing)
 	}()
-	s := target.New(c.String("service"), c.Int("slots"), c.Duration("work"))
+	ranFile, err := openRanFile(c.String("ran-file"))
+	if err != nil {
+		return usageError(err)
+	}
+	defer ranFile.Close()
+	s := target.New(c.String("service"), c.Int("slots"), c.Duration("work"), ranFile)
 	return serveUntil(ctx, c.String("listen"), s.Handler(), func() {
 		stopAnnouncing()
 		_ = a.Withdraw(context.Background())
 	})
 }
+
+func openRanFile(name string) (*os.File, error) {
+	if name == "" {
+		name = os.DevNull
+	}
+	return os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+}
--- a/cmd/cuminwheel/status.go
+++ b/cmd/cuminwheel/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/cuminwheel/cuminwheel/process/node"
@@ -70,9 +71,9 @@
 			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", g.Address, g.Service, n.ID, g.Slots, g.State)
 		}
 	}
-	fmt.Fprintln(t, "\nCLAIM SEAT\tEPOCH\tHOLDER\tGUARDIAN")
+	fmt.Fprintln(t, "\nCLAIM SEAT\tEPOCH\tMEMBERS")
 	for _, seat := range s.Seats {
-		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", seat.Key(), seat.Epoch, seat.Holder, seat.Guardian)
+		fmt.Fprintf(t, "%s\t%d\t%s\n", seat.Key(), seat.Epoch, strings.Join(seat.Members, " "))
 	}
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "print status")
--- a/connection/logservice/client.go
+++ b/connection/logservice/client.go
@@ -96,6 +96,16 @@
 	return b.First, nil
 }
 
+// Ping reports whether the log answers.
+func (c *Client) Ping(ctx context.Context) error {
+	_, err := c.Read(ctx, 0, time.Now())
+	var expired *TruncatedError
+	if errors.As(err, &expired) {
+		return nil
+	}
+	return err
+}
+
 // Read returns records from offset on. It waits until deadline for the first.
 func (c *Client) Read(ctx context.Context, offset int64, deadline time.Time) (Batch, error) {
 	wait := max(0, time.Until(deadline))
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -29,7 +29,7 @@
 for i in 0 1 2 3 4 5; do
   p=$((base + i * 10))
   "$bin" node --entry 127.0.0.1:$p --gate 127.0.0.1:$((p + 1)) --control 127.0.0.1:$((p + 2)) \
-    --admin 127.0.0.1:$((p + 3)) --region "${regions[$i]}" --data-centre "${regions[$i]}-$((i % 2))" \
+    --admin 127.0.0.1:$((p + 3)) --region "${regions[$i]}" --data-centre "${regions[$i]}-$((i % 2))" --clock-bound 50ms \
     --log "$log" "${peers[@]}" >"$logs/node$i.txt" 2>&1 &
   pids+=($!) node_pids+=($!)
   peers+=(--peer 127.0.0.1:$((p + 2)))
@@ -39,20 +39,23 @@
   p=$((base + i * 10))
   for service in reparto liquorlog; do
     [ $service = reparto ] && t=$((p + 4)) || t=$((p + 5))
-    "$bin" standin target --listen 127.0.0.1:$t --admin 127.0.0.1:$((p + 3)) --service $service \
+    "$bin" standin target --listen 127.0.0.1:$t --admin 127.0.0.1:$((p + 3)) --service $service --ran-file "$logs/ran$i-$service" \
       >"$logs/target$i-$service.txt" 2>&1 &
     pids+=($!) target_pids+=($!)
-    # The two servers killed below take their counts with them.
-    if [ $i != 5 ]; then audits+=(--audit 127.0.0.1:$t); fi
+    audits+=(--audit-file "$logs/ran$i-$service")
   done
 done
 node=127.0.0.1:$((base + 2))
+for _ in $(seq 100); do
+  [ "$("$bin" status --node "$node" 2>/dev/null | grep -c ' alive ')" = 6 ] && break
+  sleep 0.2
+done
 for _ in $(seq 50); do
   "$bin" publish --node "$node" --log "$log" --author demo --wait 5s "$here/cooperatives.json" >"$logs/publish.txt" 2>&1 && break
   sleep 0.2
 done
 cat "$logs/publish.txt"
-sleep 4 # Claim seats get their holders and leases.
+sleep 6 # Claim seats get their holders and leases.
 
 "$bin" standin caller "${entries[@]:0:10}" --path /reparto/turnos --path /liquorlog/readings \
   --claim-path /reparto/turnos/claims --claim-path /liquorlog/signoffs \
--- a/process/entry/claims.go
+++ b/process/entry/claims.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/relay"
@@ -12,11 +14,17 @@
 	"github.com/cuminwheel/cuminwheel/request/claim"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/cuminwheel/cuminwheel/version/ledger"
 	"github.com/go-faster/errors"
 )
 
-// seatRetry is when a caller may repeat a claim whose seat cannot be reached.
-const seatRetry = 2 * time.Second
+// Timing of finding a seat's holder.
+const (
+	// seatRetry is when a caller may repeat a claim whose holder is not found.
+	seatRetry  = 2 * time.Second
+	seatRounds = 3
+	seatPause  = 200 * time.Millisecond
+)
 
 // serveClaim brings a claim to the holder of its key's seat.
 func (e *Entry) serveClaim(ctx context.Context, c *call) (*relay.Answer, *outcome.Problem) {
@@ -25,18 +33,98 @@
 		return nil, problem
 	}
 	index := key.Seat(c.service.ClaimSeats)
-	seat, ok := e.states.State().Seat(c.service.Name, index)
-	if !ok {
-		// No key of a seat that never had a holder can have run.
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	for round := range seatRounds {
+		if round > 0 {
+			pause(ctx, seatPause)
+		}
+		seat, ok := e.states.State().Seat(c.service.Name, index)
+		if !ok {
+			continue
+		}
+		answer, problem := e.askMembers(ctx, c, key, seat)
+		if !isElsewhere(problem) {
+			return answer, problem
+		}
+	}
+	if _, ok := e.states.State().Seat(c.service.Name, index); !ok {
+		// No key of a seat that never had members can have run.
 		return nil, outcome.Refused(outcome.CodeNoSeat, http.StatusServiceUnavailable,
-			"claim seat %d of service %s has no holder yet", index, c.service.Name).WithRetryAt(e.clock().Add(seatRetry))
+			"claim seat %d of service %s has no members yet", index, c.service.Name).WithRetryAt(e.clock().Add(seatRetry))
+	}
+	// That no holder was found says nothing about an earlier attempt with the
+	// same key.
+	return nil, outcome.Failed(outcome.CodeSeatUnreachable, http.StatusServiceUnavailable,
+		"the holder of the claim seat was not found; repeat with the same key").WithRetryAt(e.clock().Add(seatRetry))
+}
+
+// askMembers tries the seat's members, the last known holder first, until one
+// of them takes the claim.
+func (e *Entry) askMembers(ctx context.Context, c *call, key claim.Key, seat ledger.Seat) (*relay.Answer, *outcome.Problem) {
+	var problem *outcome.Problem
+	for _, member := range e.holders.order(seat) {
+		e.logger.Info("chose", "request", c.id, "service", c.service.Name, "key", key, "seat", seat.Index,
+			"member", member, "epoch", seat.Epoch, "reason", "claim_seat", "deadline", c.deadline)
+		var answer *relay.Answer
+		if member == e.self {
+			answer, problem = e.runAtHome(ctx, c, key)
+		} else {
+			answer, problem = e.sendHome(ctx, c, seat.Index, member)
+		}
+		if !isElsewhere(problem) {
+			e.holders.found(seat, member)
+			return answer, problem
+		}
+	}
+	return nil, problem
+}
+
+// isElsewhere reports whether a member certainly did nothing with the claim
+// since it does not hold the seat or was not reached.
+func isElsewhere(p *outcome.Problem) bool {
+	return p != nil && (p.Code == outcome.CodeSeatMoved || p.Code == outcome.CodeSeatUnreachable)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
-	e.logger.Info("chose", "request", c.id, "service", c.service.Name, "key", key, "seat", index,
-		"holder", seat.Holder, "epoch", seat.Epoch, "reason", "claim_seat", "deadline", c.deadline)
-	if seat.Holder == e.self {
-		return e.runAtHome(ctx, c, key)
+}
+
+// holders remembers which member of a seat took the last claim.
+type holders struct {
+	mu    sync.Mutex
+	known map[string]string
+}
+
+// order returns the members with the last known holder first.
+func (h *holders) order(s ledger.Seat) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last, ok := h.known[s.Key()]
+	if !ok || !slices.Contains(s.Members, last) {
+		return s.Members
+	}
+	list := []string{last}
+	for _, m := range s.Members {
+		if m != last {
+			list = append(list, m)
+		}
 	}
-	return e.sendHome(ctx, c, index, seat.Holder)
+	return list
+}
+
+func (h *holders) found(s ledger.Seat, member string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.known == nil {
+		h.known = map[string]string{}
+	}
+	h.known[s.Key()] = member
 }
 
 func readKey(h http.Header) (claim.Key, *outcome.Problem) {
@@ -66,19 +154,15 @@
 	})
 }
 
-// sendHome relays a claim to the node that holds its seat. That the holder was
-// not reached says nothing about an earlier attempt with the same key, so the
-// outcome is unknown then.
-func (e *Entry) sendHome(ctx context.Context, c *call, index int, holder string) (*relay.Answer, *outcome.Problem) {
-	address, ok := e.nodes.GateOf(holder)
+// sendHome relays a claim to a member of its seat.
+func (e *Entry) sendHome(ctx context.Context, c *call, index int, member string) (*relay.Answer, *outcome.Problem) {
+	address, ok := e.nodes.GateOf(member)
 	if !ok {
-		return nil, e.seatUnreachable("the node that holds the claim seat is gone")
+		return nil, outcome.Failed(outcome.CodeSeatUnreachable, http.StatusServiceUnavailable, "the member is gone")
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	defer cancel()
 	answer, err := e.client.Send(ctx, address, c.toHome(index))
 	if errors.Is(err, relay.ErrNotSent) {
-		return nil, e.seatUnreachable("the node that holds the claim seat cannot be reached")
+		return nil, outcome.Failed(outcome.CodeSeatUnreachable, http.StatusServiceUnavailable, "the member cannot be reached")
 	}
 	if err != nil {
 		return nil, problemOf(ctx, err)
@@ -95,11 +179,6 @@
 	return nil, problem
 }
 
-func (e *Entry) seatUnreachable(detail string) *outcome.Problem {
-	return outcome.Failed(outcome.CodeSeatUnreachable, http.StatusServiceUnavailable, "%s; repeat with the same key", detail).
-		WithRetryAt(e.clock().Add(seatRetry))
-}
-
 func detailOf(code outcome.Code) string {
 	return "the holder of the claim seat reported " + string(code)
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -32,6 +32,7 @@
 	self    string
 	budget  *retryBudget
 	limits  *limiter
+	holders holders
 	meter   Meter
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -139,6 +140,7 @@
 	service := ""
 	if c != nil {
 		service = c.service.Name
+		e.logger.Info("done", "request", c.id, "service", service, "outcome", o, "code", code, "took", e.clock().Sub(began))
 	}
 	e.meter.Outcome(service, o, code, e.clock().Sub(began))
 }
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -98,15 +98,18 @@
 		if err := f.readLog(ctx); err == nil {
 			return nil
 		}
-		return f.readPeer(ctx, f.anyPeer())
+		// A reader does not wait at a peer, which may wait for this reader: it
+		// must see at once when the log is back.
+		f.pause(ctx)
+		return f.readPeer(ctx, f.anyPeer(), 0)
 	}
 	parents := parentsOf(rank, ranked)
 	for _, p := range parents {
-		if err := f.readPeer(ctx, p); err == nil {
+		if err := f.readPeer(ctx, p, waitTime); err == nil {
 			return nil
 		}
 	}
-	if err := f.readPeer(ctx, f.anyPeer()); err == nil {
+	if err := f.readPeer(ctx, f.anyPeer(), 0); err == nil {
 		return nil
 	}
 	return f.readLog(ctx)
@@ -165,14 +168,15 @@
 
 var errNoPeer = errors.New("no peer is known")
 
-// readPeer waits at a peer for records after the own state.
-func (f *Follower) readPeer(ctx context.Context, peer string) error {
+// readPeer takes records after the own state from a peer, which waits for the
+// first of them.
+func (f *Follower) readPeer(ctx context.Context, peer string, wait time.Duration) error {
 	if peer == "" {
 		return errNoPeer
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	args := ReadArgs{Offset: f.journal.State().Next, WaitMillis: int(waitTime.Milliseconds())}
+	args := ReadArgs{Offset: f.journal.State().Next, WaitMillis: int(wait.Milliseconds())}
 	var reply ReadReply
 	if err := f.caller.Call(ctx, peer, "Journal.Read", args, &reply); err != nil {
 		return err
--- a/process/home/home.go
+++ b/process/home/home.go
@@ -73,15 +73,16 @@
 func (h *Home) Serve(ctx context.Context, c Claim, dispatch Dispatch) (*relay.Answer, *outcome.Problem) {
 	now := h.clock()
 	seat, _ := h.states.State().Seat(c.Service, c.Key.Seat(c.Seats))
-	if !h.holder.MayServe(seat, now) {
+	tenure, ok := h.holder.Tenure(seat, now)
+	if !ok {
 		return nil, outcome.Failed(outcome.CodeSeatMoved, http.StatusServiceUnavailable,
 			"this node may not serve the key's seat now").WithRetryAt(now.Add(lease.Term))
 	}
-	if p := h.admit(c, seat, now); p != nil {
+	run, step, p := h.look(c, tenure, now)
+	h.logger.Info("claim", "request", c.ID, "key", c.Key, "seat", seat.Index, "epoch", seat.Epoch, "step", step)
+	if p != nil {
 		return nil, p
 	}
-	run, step := h.memory.Begin(c.Key, c.fingerprint(), now)
-	h.logger.Info("claim", "request", c.ID, "key", c.Key, "seat", seat.Index, "epoch", seat.Epoch, "step", step)
 	switch step {
 	case claim.StepRun:
 		return h.run(ctx, c, run, dispatch)
@@ -99,19 +100,23 @@
 	return nil, unsure()
 }
 
-func (h *Home) admit(c Claim, seat ledger.Seat, now time.Time) *outcome.Problem {
-	switch claim.Admits(c.Key, time.UnixMilli(seat.FromMillis), now, h.bound) {
+// look finds what to do with the claim's key. A key that may not begin in this
+// tenure may still be remembered from an earlier one.
+func (h *Home) look(c Claim, t lease.Tenure, now time.Time) (*claim.Run, claim.Step, *outcome.Problem) {
+	switch claim.Admits(c.Key, t.Since, now, h.bound) {
 	case claim.AdmitTooOld:
-		return outcome.Failed(outcome.CodeClaimKeyOld, http.StatusConflict,
+		return nil, claim.StepUnknown, outcome.Failed(outcome.CodeClaimKeyOld, http.StatusConflict,
 			"the key was issued more than %s ago and may have run; look the claim up before using a new key", claim.Window)
 	case claim.AdmitTooEarly:
-		return outcome.Refused(outcome.CodeClaimKeyEarly, http.StatusBadRequest,
+		return nil, claim.StepUnknown, outcome.Refused(outcome.CodeClaimKeyEarly, http.StatusBadRequest,
 			"the key's time of issue is ahead of this node's clock; check the caller's clock").
 			WithRetryAt(c.Key.Issued())
-	case claim.AdmitBeforeHolder:
-		return unsure()
+	case claim.AdmitBeforeTenure:
+		run, step := h.memory.Recall(c.Key, c.fingerprint())
+		return run, step, nil
 	}
-	return nil
+	run, step := h.memory.Begin(c.Key, c.fingerprint(), now)
+	return run, step, nil
 }
 
 // run dispatches the claim. It goes on when the caller goes away, so that the
--- a/process/home/keeper.go
+++ b/process/home/keeper.go
@@ -2,56 +2,83 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cuminwheel/cuminwheel/process/lease"
 	"github.com/cuminwheel/cuminwheel/process/roster"
-	"github.com/cuminwheel/cuminwheel/request/claim"
 	"github.com/cuminwheel/cuminwheel/version/ledger"
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
 
-// Keeper keeps the seats of the services that this node serves filled.
+// Keeper wins and renews the leases of the seats that this node is a member
+// of, and proposes members for seats that lack them.
 type Keeper struct {
-	clock    func() time.Time
-	logger   hclog.Logger
-	bound    time.Duration
-	states   States
-	roster   *roster.Roster
-	holder   *lease.Holder
-	guardian *lease.Guardian
-	log      Log
-	peers    Peers
-	proposed map[string]proposal
-	leaving  bool
+	clock       func() time.Time
+	logger      hclog.Logger
+	states      States
+	roster      *roster.Roster
+	holder      *lease.Holder
+	log         Log
+	members     Members
+	incarnation string
+	// proposals holds, for each seat, when its next epoch may be proposed.
+	proposals map[string]proposal
+	// tryAt holds, for each seat that was not won, when to try again.
+	tryAt   map[string]time.Time
+	random  *rand.Rand
+	leaving bool
 }
 
 // Log takes records. An error leaves open whether the record stands.
 type Log interface {
 	Append(ctx context.Context, raw []byte) (int64, error)
+	// Ping reports whether the log answers.
+	Ping(ctx context.Context) error
 }
 
-// Peers asks a guardian to renew leases.
-type Peers interface {
-	Renew(ctx context.Context, guardian string, seats []ledger.Seat) ([]bool, error)
+// Ask is what a candidate asks of a member for one seat.
+type Ask struct {
+	Service string `codec:"service"`
+	Index   int    `codec:"index"`
+	Epoch   int64  `codec:"epoch"`
+}
+
+// Members asks the members of seats. The own node is asked like any other.
+type Members interface {
+	// Grant asks a member to grant the seats to candidate and returns the run
+	// of each grant, or lease.Refused.
+	Grant(ctx context.Context, member, candidate string, seats []Ask) ([]time.Duration, error)
+	// Close asks a member to grant no more under a seat's epoch and returns
+	// how long its last grant still lasts. candidate has stopped serving.
+	Close(ctx context.Context, member, candidate string, seat Ask) (time.Duration, error)
+	// Release gives a member's grants back. candidate has stopped serving.
+	Release(ctx context.Context, member, candidate string, seats []Ask) error
+	// IsFree reports whether the own node's last grant of the seat was over
+	// before the given time.
+	IsFree(s ledger.Seat, before time.Time) bool
+	// IsClosed reports whether the own node closed the seat's epoch before the
+	// given time.
+	IsClosed(s ledger.Seat, before time.Time) bool
 }
 
 // KeeperOptions are what a Keeper needs. All fields must be set.
 type KeeperOptions struct {
-	Clock    func() time.Time
-	Logger   hclog.Logger
-	Bound    time.Duration
-	States   States
-	Roster   *roster.Roster
-	Holder   *lease.Holder
-	Guardian *lease.Guardian
-	Log      Log
-	Peers    Peers
+	Clock   func() time.Time
+	Logger  hclog.Logger
+	States  States
+	Roster  *roster.Roster
+	Holder  *lease.Holder
+	Log     Log
+	Members Members
+	// Incarnation tells this process from an earlier one at its address.
+	Incarnation string
+	Random      *rand.Rand
 }
 
-// proposal is a record that has been appended and perhaps not been folded yet.
+// proposal is an epoch that this node has put, or tried to put, into the log.
 type proposal struct {
 	epoch   int64
 	retryAt time.Time
@@ -60,25 +87,33 @@
 // Timing of the keeper.
 const (
 	appendTimeout = 3 * time.Second
-	renewTimeout  = 700 * time.Millisecond
+	askTimeout    = 700 * time.Millisecond
 	// proposalRetry is the pause before a proposal that does not show in the
-	// log is appended again. It is the same epoch, so at most one counts.
+	// log is made again. It has the same epoch, so that at most one counts.
 	proposalRetry = 4 * time.Second
+	// yieldTime is how much longer each later member waits before it tries to
+	// win a free seat, so that members seldom try together.
+	yieldTime = 800 * time.Millisecond
+	// maxBackOff bounds the random wait after a seat was not won.
+	maxBackOff = 2 * time.Second
+	// wantedMembers lets a seat lose one member without the log.
+	wantedMembers = 3
 )
 
 // NewKeeper returns a keeper.
 func NewKeeper(o KeeperOptions) *Keeper {
 	return &Keeper{
-		clock:    o.Clock,
-		logger:   o.Logger,
-		bound:    o.Bound,
-		states:   o.States,
-		roster:   o.Roster,
-		holder:   o.Holder,
-		guardian: o.Guardian,
-		log:      o.Log,
-		peers:    o.Peers,
-		proposed: map[string]proposal{},
+		clock:       o.Clock,
+		logger:      o.Logger,
+		states:      o.States,
+		roster:      o.Roster,
+		holder:      o.Holder,
+		log:         o.Log,
+		members:     o.Members,
+		incarnation: o.Incarnation,
+		proposals:   map[string]proposal{},
+		tryAt:       map[string]time.Time{},
+		random:      o.Random,
 	}
 }
 
@@ -98,205 +133,150 @@
 
 // Round does once what Run does at each interval.
 func (k *Keeper) Round(ctx context.Context) {
-	seats := k.states.State().Seats()
-	k.renew(ctx, seats)
+	if k.leaving {
+		return
+	}
+	state := k.states.State()
+	seats := k.wanted(state.Seats())
+	k.ask(ctx, seats)
 	for _, s := range seats {
-		k.tend(ctx, s)
+		_, held := k.holder.Tenure(s, k.clock())
+		switch {
+		case held:
+			k.refreshMembers(ctx, s)
+		case k.members.IsClosed(s, k.clock().Add(-proposalRetry)):
+			k.replaceMembers(ctx, s, "the epoch was closed and has no successor")
+		}
 	}
-	k.fillVacant(ctx)
+	k.fillVacant(ctx, state)
 }
 
-// HandOver gives up all seats that this process holds, before it leaves.
-func (k *Keeper) HandOver(ctx context.Context) {
-	k.leaving = true
-	for _, s := range k.states.State().Seats() {
-		if k.holder.Holds(s) {
-			k.replaceSelf(ctx, s)
+// wanted returns the seats that this node holds or should try to win: the
+// preferred member at once, the others one after another.
+func (k *Keeper) wanted(all []ledger.Seat) []ledger.Seat {
+	now := k.clock()
+	self := k.roster.Self().ID
+	var list []ledger.Seat
+	for _, s := range all {
+		place := slices.Index(s.Members, self)
+		if place < 0 {
+			continue
+		}
+		_, held := k.holder.Tenure(s, now)
+		if !held && now.Before(k.tryAt[s.Key()]) {
+			continue
+		}
+		if held || k.members.IsFree(s, now.Add(-time.Duration(place)*yieldTime)) {
+			list = append(list, s)
 		}
 	}
+	return list
 }
 
-// renew asks each guardian once for all the seats that it guards.
-func (k *Keeper) renew(ctx context.Context, seats []ledger.Seat) {
-	byGuardian := map[string][]ledger.Seat{}
+// ask asks each member once for all the seats that it is a member of.
+func (k *Keeper) ask(ctx context.Context, seats []ledger.Seat) {
+	asked := k.clock()
+	byMember := map[string][]ledger.Seat{}
 	for _, s := range seats {
-		if k.holder.Holds(s) {
-			byGuardian[s.Guardian] = append(byGuardian[s.Guardian], s)
+		for _, m := range s.Members {
+			byMember[m] = append(byMember[m], s)
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	done := make(chan struct{}, len(byGuardian))
-	for guardian, list := range byGuardian {
+	grants := newTally()
+	var wg sync.WaitGroup
+	for member, list := range byMember {
+		wg.Add(1)
 		go func() {
-			defer func() { done <- struct{}{} }()
-			asked := k.clock()
-			granted, err := k.peers.Renew(ctx, guardian, list)
-			if err != nil {
-				k.logger.Debug("lease was not renewed", "guardian", guardian, "error", err)
-				return
-			}
-			for i, ok := range granted {
-				if ok && i < len(list) {
-					k.holder.Renewed(list[i], asked)
-				}
-			}
+			defer wg.Done()
+			k.askMember(ctx, member, list, grants)
 		}()
 	}
-	for range byGuardian {
-		<-done
-	}
-}
-
-// tend looks after one seat that this node holds or guards.
-func (k *Keeper) tend(ctx context.Context, s ledger.Seat) {
+	wg.Wait()
 	now := k.clock()
-	self := k.roster.Self().ID
-	switch {
-	case k.leaving:
-	case k.holder.Holds(s):
-		if k.isGone(s.Guardian) && now.After(k.holder.Until(s)) {
-			k.replaceGuardian(ctx, s)
+	var lost []ledger.Seat
+	for _, s := range seats {
+		if k.holder.Won(s, grants.runs(s), asked, now) {
+			continue
 		}
-	case s.Holder == self:
-		// An earlier process of this node held the seat. It has ended, since
-		// this one has taken its address.
-		k.replaceHolder(ctx, s, now)
-	case k.guardian.Guards(s) && k.guardian.IsQuiet(s, now):
-		over := k.guardian.Close(s)
-		if !now.Before(over) {
-			k.replaceHolder(ctx, s, over)
+		if _, held := k.holder.Tenure(s, now); !held {
+			lost = append(lost, s)
 		}
 	}
+	k.yield(ctx, lost)
 }
 
-func (k *Keeper) isGone(node string) bool {
-	n, ok := k.roster.Node(node)
-	return !ok || n.Status != roster.StatusAlive
-}
-
-// replaceGuardian keeps the seat at this process, which remembers its keys.
-func (k *Keeper) replaceGuardian(ctx context.Context, s ledger.Seat) {
-	k.holder.Stop(s)
-	next := s
-	next.Epoch++
-	next.Guardian = k.pickGuardian(s, s.Holder)
-	k.propose(ctx, next, "the guardian is gone")
-}
-
-// replaceSelf hands a seat of this process to another node.
-func (k *Keeper) replaceSelf(ctx context.Context, s ledger.Seat) {
-	k.holder.Stop(s)
-	next := k.successor(s, k.clock())
-	k.propose(ctx, next, "the holder leaves")
-}
-
-// replaceHolder gives the seat a new holder after the earlier one's lease was
-// over at the given time.
-func (k *Keeper) replaceHolder(ctx context.Context, s ledger.Seat, over time.Time) {
-	k.propose(ctx, k.successor(s, over), "the holder is gone")
-}
-
-func (k *Keeper) successor(s ledger.Seat, over time.Time) ledger.Seat {
-	next := s
-	next.Epoch++
-	next.FromMillis = claim.FirstKeyAfter(over, k.bound).UnixMilli()
-	holder, ok := k.pickHolder(s)
-	if !ok {
-		return ledger.Seat{}
+// yield gives back the grants of seats that were not won, so that members who
+// try together do not keep each other from a majority, and waits for a random
+// time before it tries again.
+func (k *Keeper) yield(ctx context.Context, lost []ledger.Seat) {
+	for _, s := range lost {
+		wait := time.Duration(k.random.Int64N(int64(maxBackOff)))
+		k.tryAt[s.Key()] = k.clock().Add(wait)
 	}
-	next.Holder = holder.ID
-	next.HolderIncarnation = holder.Incarnation
-	next.Guardian = k.pickGuardian(s, holder.ID)
-	return next
+	k.release(ctx, lost)
 }
 
-// fillVacant proposes the first epoch of seats that have none. The node that
-// the hash prefers does so; first in the log wins if views differ.
-func (k *Keeper) fillVacant(ctx context.Context) {
-	if k.leaving {
-		return
-	}
-	state := k.states.State()
-	for _, service := range state.Configuration.Services() {
-		if !service.HasNeverRepeat() {
-			continue
-		}
-		for i := range service.ClaimSeats {
-			if _, taken := state.Seat(service.Name, i); taken {
-				continue
-			}
-			k.fill(ctx, ledger.Seat{Service: service.Name, Index: i})
+// release gives the grants of seats back to all their members.
+func (k *Keeper) release(ctx context.Context, seats []ledger.Seat) {
+	byMember := map[string][]Ask{}
+	for _, s := range seats {
+		for _, m := range s.Members {
+			byMember[m] = append(byMember[m], askOf(s))
 		}
 	}
-}
-
-func (k *Keeper) fill(ctx context.Context, vacant ledger.Seat) {
-	holder, ok := k.pickHolder(vacant)
-	if !ok || holder.ID != k.roster.Self().ID {
-		return
+	var wg sync.WaitGroup
+	for member, list := range byMember {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := k.members.Release(ctx, member, k.candidate(), list); err != nil {
+				k.logger.Debug("grants were not given back", "member", member, "error", err)
+			}
+		}()
 	}
-	k.propose(ctx, k.successor(vacant, k.clock()), "the seat is vacant")
+	wg.Wait()
 }
 
-func (k *Keeper) propose(ctx context.Context, next ledger.Seat, reason string) {
-	now := k.clock()
-	last := k.proposed[next.Key()]
-	if next.Guardian == "" || last.epoch == next.Epoch && now.Before(last.retryAt) {
-		return
+func (k *Keeper) askMember(ctx context.Context, member string, list []ledger.Seat, grants *tally) {
+	asks := make([]Ask, len(list))
+	for i, s := range list {
+		asks[i] = askOf(s)
 	}
-	k.proposed[next.Key()] = proposal{epoch: next.Epoch, retryAt: now.Add(proposalRetry)}
-	r := ledger.Record{ID: uuid.NewString(), Kind: ledger.KindSeat, Author: k.roster.Self().ID, Seat: &next}
-	raw, err := r.Encode()
+	runs, err := k.members.Grant(ctx, member, k.candidate(), asks)
 	if err != nil {
-		k.logger.Error("seat record cannot be encoded", "error", err)
+		k.logger.Debug("member did not answer", "member", member, "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err = k.log.Append(ctx, raw)
-	k.logger.Info("seat is proposed", "seat", next.Key(), "epoch", next.Epoch, "holder", next.Holder,
-		"guardian", next.Guardian, "reason", reason, "error", err)
+	for i, run := range runs {
+		if run != lease.Refused && i < len(list) {
+			grants.add(list[i], run)
+		}
+	}
 }
 
-// pickHolder returns the living node with targets of the service that the
-// hash of the seat prefers.
-func (k *Keeper) pickHolder(s ledger.Seat) (roster.Node, bool) {
-	return k.prefer(s.Key(), func(n roster.Node) bool { return n.Serves(s.Service) })
+// candidate names this process as a holder: a restarted one is another.
+func (k *Keeper) candidate() string { return k.roster.Self().ID + "@" + k.incarnation }
+
+func askOf(s ledger.Seat) Ask { return Ask{Service: s.Service, Index: s.Index, Epoch: s.Epoch} }
+
+// tally collects the runs of grants by seat.
+type tally struct {
+	mu     sync.Mutex
+	grants map[string][]time.Duration
 }
 
-// pickGuardian prefers a node of another data centre, so that one failure does
-// not take both.
-func (k *Keeper) pickGuardian(s ledger.Seat, holder string) string {
-	h, _ := k.roster.Node(holder)
-	elsewhere := func(n roster.Node) bool {
-		return n.ID != holder && n.Region == h.Region && n.DataCentre != h.DataCentre
-	}
-	another := func(n roster.Node) bool { return n.ID != holder }
-	for _, accept := range []func(roster.Node) bool{elsewhere, another} {
-		if n, ok := k.prefer("guardian/"+holder, accept); ok {
-			return n.ID
-		}
-	}
-	return ""
+func newTally() *tally { return &tally{grants: map[string][]time.Duration{}} }
+
+func (t *tally) add(s ledger.Seat, run time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.grants[s.Key()] = append(t.grants[s.Key()], run)
 }
 
-// prefer returns the living node with the highest hash together with key
-// (rendezvous hashing).
-func (k *Keeper) prefer(key string, accept func(roster.Node) bool) (roster.Node, bool) {
-	var best roster.Node
-	var bestHash uint64
-	for _, n := range k.roster.Nodes() {
-		if n.Status != roster.StatusAlive || !accept(n) {
-			continue
-		}
-		if k.leaving && n.ID == k.roster.Self().ID {
-			continue
-		}
-		h := xxhash.Sum64String(key + "/" + n.ID)
-		if best.ID == "" || h > bestHash {
-			best, bestHash = n, h
-		}
-	}
-	return best, best.ID != ""
+func (t *tally) runs(s ledger.Seat) []time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.grants[s.Key()]
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -75,8 +76,8 @@
 		DataCentre:  s.DataCentre,
 		Gate:        s.Gate,
 	})
-	holder := lease.NewHolder(s.Control, started.UnixMilli())
-	guardian := lease.NewGuardian(s.Control, started)
+	holder := lease.NewHolder()
+	granter := lease.NewGranter(s.Control, started)
 	n.feed = roster.NewFeed(n.roster, pool, l.Named("roster"), newRandom(), s.Peers)
 	monitor := roster.NewMonitor(n.roster, pool, l.Named("monitor"))
 	follow := follower.New(follower.Options{
@@ -89,8 +90,9 @@
 	})
 	n.home = home.New(time.Now, l.Named("home"), s.ClockBound, n.journal, holder)
 	n.keeper = home.NewKeeper(home.KeeperOptions{
-		Clock: time.Now, Logger: l.Named("seats"), Bound: s.ClockBound, States: n.journal,
-		Roster: n.roster, Holder: holder, Guardian: guardian, Log: logs, Peers: leasePeers{pool},
+		Clock: time.Now, Logger: l.Named("seats"), States: n.journal, Roster: n.roster, Holder: holder,
+		Log: logs, Members: members{pool: pool, granter: granter},
+		Incarnation: strconv.FormatInt(started.UnixMilli(), 10), Random: newRandom(),
 	})
 	n.entry = entry.New(entry.Options{
 		Clock: time.Now, Logger: l.Named("entry"), Client: client, States: n.journal,
@@ -99,7 +101,7 @@
 	})
 	n.addGauges()
 
-	servers, closeServers, err := n.listen(pool, guardian)
+	servers, closeServers, err := n.listen(pool, granter)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -133,7 +135,7 @@
 	entry, gate, admin *http.Server
 }
 
-func (n *Node) listen(pool *link.Pool, guardian *lease.Guardian) (httpServers, func(), error) {
+func (n *Node) listen(pool *link.Pool, granter *lease.Granter) (httpServers, func(), error) {
 	s := httpServers{
 		entry: newServer(n.entry),
 		gate:  newServer(http.HandlerFunc(n.serveNode)),
@@ -160,7 +162,7 @@
 		"Roster":  roster.NewService(n.roster, pool),
 		"Journal": follower.NewService(n.journal),
 		"Gate":    &gateService{gate: n.gate},
-		"Lease":   &leaseService{clock: time.Now, journal: n.journal, guardian: guardian},
+		"Lease":   &leaseService{clock: time.Now, journal: n.journal, granter: granter},
 		"Node":    &nodeService{node: n},
 	})
 	if err != nil {
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -7,9 +7,11 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/link"
 	"github.com/cuminwheel/cuminwheel/process/gate"
+	"github.com/cuminwheel/cuminwheel/process/home"
 	"github.com/cuminwheel/cuminwheel/process/lease"
 	"github.com/cuminwheel/cuminwheel/process/roster"
 	"github.com/cuminwheel/cuminwheel/version/ledger"
+	"github.com/go-faster/errors"
 )
 
 // siblings asks the gates of a service over the links between nodes.
@@ -57,42 +59,123 @@
 	return nil
 }
 
-// RenewArgs asks a guardian to renew the leases of seats.
-type RenewArgs struct {
-	Seats []ledger.Seat `codec:"seats"`
+// GrantArgs asks a member for leases of seats.
+type GrantArgs struct {
+	Candidate string     `codec:"candidate"`
+	Seats     []home.Ask `codec:"seats"`
 }
 
-// RenewReply says, in the same order, which leases were renewed.
-type RenewReply struct {
-	Granted []bool `codec:"granted"`
+// GrantReply carries, in the same order, the run of each grant in ms, or a
+// negative number for one that was refused.
+type GrantReply struct {
+	RunMillis []int64 `codec:"run_ms"`
 }
 
+// CloseArgs asks a member to grant no more under a seat's epoch.
+type CloseArgs struct {
+	Candidate string   `codec:"candidate"`
+	Seat      home.Ask `codec:"seat"`
+}
+
+// CloseReply says how long the last grant still lasts, in ms rounded up.
+type CloseReply struct {
+	RestMillis int64 `codec:"rest_ms"`
+}
+
+// Empty is the reply of calls that return nothing.
+type Empty struct{}
+
 // leaseService answers under the name Lease.
 type leaseService struct {
-	clock    func() time.Time
-	journal  *ledger.Journal
-	guardian *lease.Guardian
+	clock   func() time.Time
+	journal *ledger.Journal
+	granter *lease.Granter
 }
 
-// Renew renews leases.
-func (s *leaseService) Renew(args RenewArgs, reply *RenewReply) error {
+// Grant grants leases.
+func (s *leaseService) Grant(args GrantArgs, reply *GrantReply) error {
 	state := s.journal.State()
 	now := s.clock()
-	for _, asked := range args.Seats {
-		seat, _ := state.Seat(asked.Service, asked.Index)
-		reply.Granted = append(reply.Granted, s.guardian.Grant(seat, asked, now))
+	for _, a := range args.Seats {
+		seat, _ := state.Seat(a.Service, a.Index)
+		run := s.granter.Grant(seat, a.Epoch, args.Candidate, now)
+		reply.RunMillis = append(reply.RunMillis, runMillis(run))
+	}
+	return nil
+}
+
+const refusedMillis = -1
+
+func runMillis(run time.Duration) int64 {
+	if run == lease.Refused {
+		return refusedMillis
+	}
+	return run.Milliseconds()
+}
+
+var errOtherEpoch = errors.New("the seat has another epoch here")
+
+// Close grants no more under a seat's epoch.
+func (s *leaseService) Close(args CloseArgs, reply *CloseReply) error {
+	seat, _ := s.journal.State().Seat(args.Seat.Service, args.Seat.Index)
+	if seat.Epoch != args.Seat.Epoch {
+		return errOtherEpoch
 	}
+	now := s.clock()
+	over := s.granter.Close(seat, args.Candidate, now)
+	reply.RestMillis = max(0, over.Sub(now).Milliseconds()+1)
 	return nil
 }
 
-// leasePeers calls guardians over the links between nodes.
-type leasePeers struct {
-	pool *link.Pool
+// Release takes grants back.
+func (s *leaseService) Release(args GrantArgs, _ *Empty) error {
+	state := s.journal.State()
+	now := s.clock()
+	for _, a := range args.Seats {
+		seat, _ := state.Seat(a.Service, a.Index)
+		s.granter.Release(seat, args.Candidate, now)
+	}
+	return nil
+}
+
+// members asks the members of seats over the links between nodes.
+type members struct {
+	pool    *link.Pool
+	granter *lease.Granter
+}
+
+// Grant asks a member to grant the seats to candidate.
+func (m members) Grant(ctx context.Context, member, candidate string, seats []home.Ask) ([]time.Duration, error) {
+	var reply GrantReply
+	err := m.pool.Call(ctx, member, "Lease.Grant", GrantArgs{Candidate: candidate, Seats: seats}, &reply)
+	runs := make([]time.Duration, len(reply.RunMillis))
+	for i, ms := range reply.RunMillis {
+		runs[i] = time.Duration(ms) * time.Millisecond
+		if ms < 0 {
+			runs[i] = lease.Refused
+		}
+	}
+	return runs, err
+}
+
+// Close asks a member to grant no more under a seat's epoch.
+func (m members) Close(ctx context.Context, member, candidate string, seat home.Ask) (time.Duration, error) {
+	var reply CloseReply
+	err := m.pool.Call(ctx, member, "Lease.Close", CloseArgs{Candidate: candidate, Seat: seat}, &reply)
+	return time.Duration(reply.RestMillis) * time.Millisecond, err
+}
+
+// Release gives a member's grants back.
+func (m members) Release(ctx context.Context, member, candidate string, seats []home.Ask) error {
+	return m.pool.Call(ctx, member, "Lease.Release", GrantArgs{Candidate: candidate, Seats: seats}, &Empty{})
+}
+
+// IsFree reports whether the own node's last grant was over before a time.
+func (m members) IsFree(s ledger.Seat, before time.Time) bool {
+	return m.granter.FreeSince(s).Before(before)
 }
 
-// Renew asks the guardian to renew the leases of seats.
-func (p leasePeers) Renew(ctx context.Context, guardian string, seats []ledger.Seat) ([]bool, error) {
-	var reply RenewReply
-	err := p.pool.Call(ctx, guardian, "Lease.Renew", RenewArgs{Seats: seats}, &reply)
-	return reply.Granted, err
+// IsClosed reports whether the own node closed the seat's epoch before a time.
+func (m members) IsClosed(s ledger.Seat, before time.Time) bool {
+	return m.granter.IsClosed(s, before)
 }
--- a/process/roster/feed.go
+++ b/process/roster/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -55,6 +56,7 @@
 			f.pushRumours(ctx)
 		case <-digests.C:
 			f.compareDigests(ctx)
+			f.reachOut(ctx)
 		case <-joins.C:
 			f.join(ctx)
 		case <-ctx.Done():
@@ -73,16 +75,42 @@
 
 // join asks a seed for the whole roster while no living peer is known.
 func (f *Feed) join(ctx context.Context) {
-	if _, ok := f.pickPeer(); ok || len(f.seeds) == 0 {
+	if _, ok := f.pickPeer(); ok {
 		return
 	}
-	seed := f.seeds[f.random.IntN(len(f.seeds))]
-	if seed == f.roster.self {
+	f.reachOut(ctx)
+}
+
+// reachOut tries a node that is not known to live: a seed that has not been
+// met, or a node that is called gone. Groups that formed apart or were cut off
+// from each other so become one again.
+func (f *Feed) reachOut(ctx context.Context) {
+	strangers := f.strangers()
+	if len(strangers) == 0 {
 		return
 	}
-	if err := f.sync(ctx, seed); err != nil {
-		f.logger.Debug("seed did not answer", "seed", seed, "error", err)
+	stranger := strangers[f.random.IntN(len(strangers))]
+	if err := f.sync(ctx, stranger); err != nil {
+		f.logger.Debug("stranger did not answer", "node", stranger, "error", err)
+	}
+}
+
+func (f *Feed) strangers() []string {
+	f.roster.mu.Lock()
+	defer f.roster.mu.Unlock()
+	var list []string
+	for _, s := range f.seeds {
+		if _, met := f.roster.nodes[s]; !met && s != f.roster.self {
+			list = append(list, s)
+		}
+	}
+	for id, n := range f.roster.nodes {
+		if n.Status == StatusGone {
+			list = append(list, id)
+		}
 	}
+	slices.Sort(list)
+	return list
 }
 
 func (f *Feed) pushRumours(ctx context.Context) {
--- a/request/claim/key.go
+++ b/request/claim/key.go
@@ -58,32 +58,25 @@
 	AdmitTooOld
 	// AdmitTooEarly means that the key's time lies in the future.
 	AdmitTooEarly
-	// AdmitBeforeHolder means that an earlier holder may have run the key.
-	AdmitBeforeHolder
+	// AdmitBeforeTenure means that an earlier holder may have run the key.
+	AdmitBeforeTenure
 )
 
-// Admits judges a key by its time of issue. from is the time from which keys
-// belong to this holder, and bound is how far any two clocks may be apart.
+// Admits judges a key by its time of issue. since is when the holder's tenure
+// began by its own clock, and bound is how far any two clocks may be apart.
 //
-// A key before from is refused first: only then does a key too far ahead
-// certainly not have run at an earlier holder, whose clock may have been
-// ahead of this one by the bound.
-func Admits(k Key, from, now time.Time, bound time.Duration) Admission {
+// An earlier holder's clock may have been ahead by bound, and it admitted keys
+// up to bound ahead of its clock, so that keys up to twice the bound after
+// since may have run there. That is told before a key is called too early:
+// only then has a key that is too early certainly not run.
+func Admits(k Key, since, now time.Time, bound time.Duration) Admission {
 	switch {
 	case k.issued.Before(now.Add(-Window)):
 		return AdmitTooOld
-	case k.issued.Before(from):
-		return AdmitBeforeHolder
+	case !k.issued.After(since.Add(2 * bound)):
+		return AdmitBeforeTenure
 	case k.issued.After(now.Add(bound)):
 		return AdmitTooEarly
 	}
 	return AdmitRun
 }
-
-// FirstKeyAfter returns the time from which keys may belong to a new holder
-// when the earlier holder's lease was over at the given time of this clock.
-// The earlier holder's clock may have been ahead by bound, and it admitted keys
-// up to bound ahead of its clock.
-func FirstKeyAfter(over time.Time, bound time.Duration) time.Time {
-	return over.Add(2*bound + time.Millisecond)
-}
--- a/request/claim/memory.go
+++ b/request/claim/memory.go
@@ -69,19 +69,34 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.forget(now)
-	r, known := m.keys[k.text]
-	if !known {
-		return m.begin(k, fingerprint)
+	if r, known := m.keys[k.text]; known {
+		return r, r.step(fingerprint)
 	}
+	return m.begin(k, fingerprint)
+}
+
+// Recall looks up a key that must not begin here. It returns StepUnknown for a
+// key that is not remembered.
+func (m *Memory) Recall(k Key, fingerprint uint64) (*Run, Step) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, known := m.keys[k.text]; known {
+		return r, r.step(fingerprint)
+	}
+	return nil, StepUnknown
+}
+
+// step says what to do with a remembered key.
+func (r *Run) step(fingerprint uint64) Step {
 	switch {
 	case r.fingerprint != fingerprint:
-		return r, StepReused
+		return StepReused
 	case !r.ended:
-		return r, StepJoin
+		return StepJoin
 	case r.answer != nil:
-		return r, StepKept
+		return StepKept
 	}
-	return r, StepUnknown
+	return StepUnknown
 }
 
 func (m *Memory) begin(k Key, fingerprint uint64) (*Run, Step) {
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -1,14 +1,12 @@
 package caller
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
+	"os"
 	"sort"
+	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -77,27 +75,16 @@
 	return r
 }
 
-// FetchRan adds up the targets' counts of claims.
-func FetchRan(ctx context.Context, targets []string) (map[string]int, error) {
+// ReadRan adds up the files in which the targets noted the claims that began.
+func ReadRan(files []string) (map[string]int, error) {
 	sum := map[string]int{}
-	client := &http.Client{Timeout: 5 * time.Second}
-	for _, address := range targets {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ran", nil)
-		if err != nil {
-			return nil, errors.Wrap(err, "make count request")
-		}
-		res, err := client.Do(req)
-		if err != nil {
-			return nil, errors.Wrap(err, "fetch counts")
-		}
-		var ran map[string]int
-		err = json.NewDecoder(res.Body).Decode(&ran)
-		res.Body.Close()
+	for _, name := range files {
+		raw, err := os.ReadFile(name)
 		if err != nil {
 			return nil, errors.Wrap(err, "read counts")
 		}
-		for k, n := range ran {
-			sum[k] += n
+		for _, key := range strings.Fields(string(raw)) {
+			sum[key]++
 		}
 	}
 	return sum, nil
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -40,6 +40,10 @@
 	work    time.Duration
 	slots   chan struct{}
 
+	// ranFile gets a line for each claim that begins, so that the count
+	// outlives the process.
+	ranFile io.Writer
+
 	mu     sync.Mutex
 	faults Faults
 	since  time.Time
@@ -61,9 +65,10 @@
 const maxSize = 8 << 20
 
 // New returns a stand-in for a server of the service whose requests take about
-// work each.
-func New(service string, slots int, work time.Duration) *Server {
+// work each. It writes the key of each claim that begins as a line to ranFile.
+func New(service string, slots int, work time.Duration, ranFile io.Writer) *Server {
 	return &Server{
+		ranFile: ranFile,
 		service: service,
 		work:    work,
 		slots:   make(chan struct{}, slots),
@@ -184,6 +189,7 @@
 	s.served++
 	if key != "" {
 		s.ran[key]++
+		fmt.Fprintln(s.ranFile, key)
 	}
 }
 
--- a/version/ledger/record.go
+++ b/version/ledger/record.go
@@ -35,23 +35,15 @@
 	Snapshot *SnapshotPart         `json:"snapshot,omitempty"`
 }
 
-// Seat says which node is home to a share of a service's idempotency keys.
+// Seat names the nodes among which one at a time is home to a share of a
+// service's idempotency keys.
 type Seat struct {
-	Service string `json:"service"`
-	Index   int    `json:"index"`
-	// Epoch grows by one with each new holder or guardian.
-	Epoch int64 `json:"epoch"`
-	// Holder is the control address of the node that runs the keys.
-	Holder string `json:"holder"`
-	// HolderIncarnation is the start of the holder's process, Unix ms. A
-	// restarted holder has forgotten its keys and needs a new epoch.
-	HolderIncarnation int64 `json:"holder_incarnation"`
-	// Guardian is the control address of the node that renews the holder's
-	// lease and alone may hand the seat on.
-	Guardian string `json:"guardian"`
-	// FromMillis is the Unix time in ms from which keys may be issued for this
-	// holder; older keys may have run at an earlier one.
-	FromMillis int64 `json:"from_ms"`
+	Service string `json:"service" codec:"service"`
+	Index   int    `json:"index" codec:"index"`
+	// Epoch grows by one with each change of the members.
+	Epoch int64 `json:"epoch" codec:"epoch"`
+	// Members are control addresses, the preferred holder first.
+	Members []string `json:"members" codec:"members"`
 }
 
 // Key names the seat within a State.
--- a/version/ledger/state.go
+++ b/version/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -19,6 +20,9 @@
 	seats         table.Table[Seat]
 }
 
+// MaxSeatMembers bounds the members of a claim seat.
+const MaxSeatMembers = 5
+
 // Decision says what the fold made of a record.
 type Decision struct {
 	ID       string `json:"id"`
@@ -44,7 +48,7 @@
 	DecisionStaleSeat DecisionCode = "stale_seat"
 )
 
-// Seat returns the holder of a service's seat.
+// Seat returns a claim seat of a service.
 func (s State) Seat(service string, index int) (Seat, bool) {
 	return s.seats.Get(seatKey(service, index))
 }
@@ -107,31 +111,41 @@
 	return s, d
 }
 
-// withSeat accepts the next epoch of a seat only from the guardian or the
-// holder that the present epoch names. They alone know that the holder's
-// lease is over.
+// withSeat accepts the next epoch of a seat only from a member of the present
+// one, which has closed that epoch before it appended the record.
 func (s State) withSeat(r Record, d Decision) (State, Decision) {
 	next := *r.Seat
 	service, ok := s.Configuration.Service(next.Service)
 	if !ok || next.Index < 0 || next.Index >= service.ClaimSeats {
 		return s, d.rejected(DecisionInvalid, fmt.Sprintf("service %s has no seat %d", next.Service, next.Index))
 	}
-	if next.Holder == "" || next.Guardian == "" || next.Holder == next.Guardian {
-		return s, d.rejected(DecisionInvalid, "holder and guardian must be two nodes")
+	if !isMemberList(next.Members) {
+		return s, d.rejected(DecisionInvalid, fmt.Sprintf("a seat has 1 to %d different members", MaxSeatMembers))
 	}
 	now, taken := s.seats.Get(next.Key())
 	if next.Epoch != now.Epoch+1 {
-		d.Winner = now.Holder
 		return s, d.rejected(DecisionStaleSeat, fmt.Sprintf("epoch %d does not follow epoch %d", next.Epoch, now.Epoch))
 	}
-	if taken && r.Author != now.Guardian && r.Author != now.Holder {
-		return s, d.rejected(DecisionStaleSeat, fmt.Sprintf("only %s or %s may hand the seat on", now.Guardian, now.Holder))
+	if taken && !slices.Contains(now.Members, r.Author) {
+		return s, d.rejected(DecisionStaleSeat, "only a member may change the members")
 	}
 	s.seats = s.seats.With(next.Key(), next)
 	d.Accepted = true
 	return s, d
 }
 
+func isMemberList(members []string) bool {
+	if len(members) < 1 || len(members) > MaxSeatMembers {
+		return false
+	}
+	for i, m := range members {
+		if m == "" || slices.Contains(members[:i], m) {
+			return false
+		}
+	}
+	return true
+}
+
 func (d Decision) rejected(code DecisionCode, reason string) Decision {
 	d.Code = code
 	d.Reason = reason
