--- /dev/null
+++ b/process/floor/vouch.go
@@ -0,0 +1,30 @@
+package floor
+
+// Vouch is what a gate says of its own targets of a service.
+type Vouch struct {
+	// PromisedSlots is the capacity of healthy targets, which stay in service
+	// for Term if a promise was asked for.
+	PromisedSlots int `codec:"promised_slots"`
+	// SuspectedSlots is the capacity of targets that are suspected themselves.
+	SuspectedSlots int `codec:"suspected_slots"`
+	// ServingSlots is the capacity of all targets that take work.
+	ServingSlots int `codec:"serving_slots"`
+}
+
+// minHealthyShare of the siblings must be unsuspected: if fewer are, the
+// service is slow and no single target is sick.
+const minHealthyShare = 1.0 / 3
+
+// With returns the sum of what two gates say.
+func (v Vouch) With(o Vouch) Vouch {
+	v.PromisedSlots += o.PromisedSlots
+	v.SuspectedSlots += o.SuspectedSlots
+	v.ServingSlots += o.ServingSlots
+	return v
+}
+
+// IsServiceWide reports whether too many siblings are suspected themselves.
+func (v Vouch) IsServiceWide() bool {
+	healthy := v.ServingSlots - v.SuspectedSlots
+	return v.ServingSlots > 0 && float64(healthy) < minHealthyShare*float64(v.ServingSlots)
+}
--- a/process/gate/health.go
+++ b/process/gate/health.go
@@ -13,18 +13,7 @@
 type Siblings interface {
 	// Ask calls reply once for each gate that answers, and returns when all
 	// have answered or ctx is done; it calls reply no more after that.
-	Ask(ctx context.Context, service string, promise bool, reply func(Vouch))
-}
-
-// Vouch is what a gate says of its own targets of a service.
-type Vouch struct {
-	// PromisedSlots is the capacity of healthy targets, which stay in service
-	// for floor.Term if a promise was asked for.
-	PromisedSlots int `codec:"promised_slots"`
-	// SuspectedSlots is the capacity of targets that are suspected themselves.
-	SuspectedSlots int `codec:"suspected_slots"`
-	// ServingSlots is the capacity of all targets that take work.
-	ServingSlots int `codec:"serving_slots"`
+	Ask(ctx context.Context, service string, promise bool, reply func(floor.Vouch))
 }
 
 // Timing of the health loop.
@@ -36,9 +25,6 @@
 	bidInterval = 500 * time.Millisecond
 	// recheckInterval is how often an ejection is held against the floor.
 	recheckInterval = 3 * time.Second
-	// minHealthyShare of the siblings must be unsuspected: if fewer are, the
-	// service is slow and not this target.
-	minHealthyShare = 1.0 / 3
 )
 
 // Run watches the targets until ctx is done.
@@ -119,7 +105,7 @@
 	}
 	v := g.collect(ctx, p, t, true)
 	b.Add(v.PromisedSlots)
-	if v.isServiceWide() {
+	if v.IsServiceWide() {
 		b.Abort()
 	} else if g.commit(p, t, b, v) {
 		return
@@ -131,7 +117,7 @@
 }
 
 // commit ejects the target for as long as its standing says.
-func (g *Gate) commit(p *Pool, t *target, b *floor.Bid, v Vouch) bool {
+func (g *Gate) commit(p *Pool, t *target, b *floor.Bid, v floor.Vouch) bool {
 	now := g.clock()
 	p.mu.Lock()
 	until := now.Add(t.standing.Timeout(now))
@@ -170,44 +156,36 @@
 	p.settle(t, g.clock().Add(recheckInterval))
 }
 
-// isServiceWide reports whether too many siblings are suspected themselves.
-func (v Vouch) isServiceWide() bool {
-	healthy := v.ServingSlots - v.SuspectedSlots
-	return v.ServingSlots > 0 && float64(healthy) < minHealthyShare*float64(v.ServingSlots)
-}
-
 // collect adds up what all gates of the service say; promise asks them to
 // keep their healthy targets in service.
-func (g *Gate) collect(ctx context.Context, p *Pool, t *target, promise bool) Vouch {
+func (g *Gate) collect(ctx context.Context, p *Pool, t *target, promise bool) floor.Vouch {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sum := g.vouch(p, t, promise)
 	var mu sync.Mutex
-	g.siblings.Ask(ctx, p.service, promise, func(v Vouch) {
+	g.siblings.Ask(ctx, p.service, promise, func(v floor.Vouch) {
 		mu.Lock()
 		defer mu.Unlock()
-		sum.PromisedSlots += v.PromisedSlots
-		sum.SuspectedSlots += v.SuspectedSlots
-		sum.ServingSlots += v.ServingSlots
+		sum = sum.With(v)
 	})
 	return sum
 }
 
 // Vouch says how this gate's targets of a service are, and promises the
 // healthy ones to a sibling if it asks for that.
-func (g *Gate) Vouch(service string, promise bool) Vouch {
+func (g *Gate) Vouch(service string, promise bool) floor.Vouch {
 	g.mu.Lock()
 	p, ok := g.pools[service]
 	g.mu.Unlock()
 	if !ok {
-		return Vouch{}
+		return floor.Vouch{}
 	}
 	return g.vouch(p, nil, promise)
 }
 
-func (g *Gate) vouch(p *Pool, except *target, promise bool) Vouch {
+func (g *Gate) vouch(p *Pool, except *target, promise bool) floor.Vouch {
 	now := g.clock()
-	var v Vouch
+	var v floor.Vouch
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.targets {
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/link"
+	"github.com/cuminwheel/cuminwheel/process/floor"
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/home"
 	"github.com/cuminwheel/cuminwheel/process/lease"
@@ -21,7 +22,7 @@
 }
 
 // Ask calls reply once for each gate that answers.
-func (s siblings) Ask(ctx context.Context, service string, promise bool, reply func(gate.Vouch)) {
+func (s siblings) Ask(ctx context.Context, service string, promise bool, reply func(floor.Vouch)) {
 	self := s.roster.Self().ID
 	var wg sync.WaitGroup
 	for _, n := range s.roster.Nodes() {
@@ -31,7 +32,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			var v gate.Vouch
+			var v floor.Vouch
 			args := VouchArgs{Service: service, Promise: promise}
 			if err := s.pool.Call(ctx, n.ID, "Gate.Vouch", args, &v); err == nil {
 				reply(v)
@@ -54,7 +55,7 @@
 }
 
 // Vouch says how this node's targets of a service are.
-func (s *gateService) Vouch(args VouchArgs, reply *gate.Vouch) error {
+func (s *gateService) Vouch(args VouchArgs, reply *floor.Vouch) error {
 	*reply = s.gate.Vouch(args.Service, args.Promise)
 	return nil
 }
