--- a/cmd/cuminwheel/main.go
+++ b/cmd/cuminwheel/main.go
@@ -67,6 +67,7 @@
 			checkCommand(),
 			statusCommand(),
 			standinCommand(),
+			experimentCommand(),
 		},
 	}
 }
