floor, spec: ejections need no promises over time, only raised bids

The cause: a gate that raises its bid before it asks, and vouches for nothing that it bids for, can't be overtaken (argument in floor/doc.go).

--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -3,7 +3,7 @@
 // A World is one service with small fakes of its targets and callers in
 // virtual time: requests arrive at random, each target works on a few at once,
 // and faults follow a Scenario. A Policy chooses targets and ejects them.
-// Guarded is this project's own: it runs the same Judge, Standing and Promises
+// Guarded is this project's own: it runs the same Judge, Standing and Bids
 // as the gate, with the delays of asking siblings. The others are baselines.
 //
 // What the fakes leave out: one entry sees all its outstanding requests, links
--- a/experiment/guarded.go
+++ b/experiment/guarded.go
@@ -9,7 +9,7 @@
 )
 
 // guarded is this project's policy: each target has a gate with a judge, and
-// gates eject with the promises of the target's siblings.
+// gates eject when the target's siblings vouch.
 type guarded struct {
 	scenario Scenario
 	view     View
@@ -22,7 +22,7 @@
 type fakeGate struct {
 	judge    *judgement.Judge
 	standing judgement.Standing
-	promises *floor.Promises
+	bids     *floor.Bids
 	bid      *floor.Bid
 	vouch    floor.Vouch
 	closeAt  time.Time
@@ -43,8 +43,8 @@
 	g := &guarded{scenario: s, view: v, random: random, mean: 20 * time.Millisecond}
 	for range s.Targets {
 		g.gates = append(g.gates, &fakeGate{
-			judge:    judgement.New(judgement.DialFor(s.Detection)),
-			promises: floor.NewPromises(epoch),
+			judge: judgement.New(judgement.DialFor(s.Detection)),
+			bids:  floor.NewBids(),
 		})
 	}
 	return g
@@ -124,7 +124,7 @@
 	}
 }
 
-// Tick takes in ages, begins bids and commits those whose promises are in.
+// Tick takes in ages, begins bids and commits those whose answers are in.
 func (g *guarded) Tick(now time.Time) []int {
 	var ejected []int
 	for i, t := range g.gates {
@@ -145,7 +145,7 @@
 
 func (g *guarded) begin(target int, now time.Time) {
 	t := g.gates[target]
-	b, ok := t.promises.Begin(name(target), g.scenario.FloorSlots, now)
+	b, ok := t.bids.Begin(name(target), g.scenario.FloorSlots)
 	if !ok {
 		t.tryAt = now.Add(bidPause)
 		return
@@ -158,7 +158,7 @@
 			t.vouch = t.vouch.With(g.ask(i, o, now))
 		}
 	}
-	b.Add(t.vouch.PromisedSlots)
+	b.Add(t.vouch.HealthySlots)
 }
 
 func (g *guarded) ask(target int, t *fakeGate, now time.Time) floor.Vouch {
@@ -171,8 +171,8 @@
 		v.SuspectedSlots = g.scenario.Slots
 	}
 	serving := t.standing.Phase(now) == judgement.PhaseServing
-	if serving && !suspected && t.promises.Promise(name(target), now) {
-		v.PromisedSlots = g.scenario.Slots
+	if serving && !suspected && t.bids.MayVouch(name(target), now) {
+		v.HealthySlots = g.scenario.Slots
 	}
 	return v
 }
@@ -185,7 +185,7 @@
 		b.Abort()
 		return false
 	}
-	if !b.Commit(now, now.Add(t.standing.Timeout(now))) {
+	if !b.Commit(now.Add(t.standing.Timeout(now))) {
 		return false
 	}
 	t.standing.Eject(now)
--- a/process/floor/doc.go
+++ b/process/floor/doc.go
@@ -1,21 +1,20 @@
 // Package floor lets gates eject targets without taking a service's healthy
-// capacity below its floor, with no coordinator, no log and no synchronised
-// clocks.
+// capacity below its floor, with no coordinator, no log and no clock that
+// others must agree with.
 //
-// A gate that wants to eject a target asks the target's siblings to promise
-// that they stay in service for a short term. It may eject only when promises
-// for at least the floor are in, and only before the first of them could end.
-// A gate that has promised does not eject the promised target before the
-// promise ends, and a gate that is collecting for a target does not promise
-// it. At the moment of any ejection, therefore, a floor's worth of targets
-// that answered as healthy is in service and none of them is being ejected.
+// A gate that wants to eject a target first raises a bid for it, then asks the
+// target's siblings to vouch, and ejects only when healthy targets with at
+// least the floor's capacity are vouched for. While a target is bid for or is
+// ejected, its gate does not vouch for it.
 //
-// The ejecting gate counts the time from before it asked and the promising
-// gate from after it was asked, so that only the rates of their clocks matter,
-// and those are covered by a margin. A gate that restarts has forgotten its
-// promises and ejects nothing until any promise would have ended. A cut, a
-// crash or a lost message costs speed and never the floor.
+// That is enough. Of all targets that are out at some moment, take the one
+// whose bid was raised last. Those who vouched to it were neither out nor bid
+// for after that bid was raised, and no bid for them was raised since, so they
+// are still in service. Lost or late answers, cuts and restarts cost speed and
+// never the floor. Targets that crash are not ejections: what is promised is
+// that at each ejection a floor's worth of targets had answered as healthy and
+// is not taken out by any other ejection.
 //
-// The model in spec/floor.pml checks these rules; Promises is the code that it
-// stands for.
+// The model in spec/floor.pml checks these rules; Bids.Begin, Bids.MayVouch
+// and Bid.Commit are the code that it stands for.
 package floor
--- a/process/floor/vouch.go
+++ b/process/floor/vouch.go
@@ -2,9 +2,8 @@
 
 // Vouch is what a gate says of its own targets of a service.
 type Vouch struct {
-	// PromisedSlots is the capacity of healthy targets, which stay in service
-	// for Term if a promise was asked for.
-	PromisedSlots int `codec:"promised_slots"`
+	// HealthySlots is the capacity of targets that are vouched for.
+	HealthySlots int `codec:"healthy_slots"`
 	// SuspectedSlots is the capacity of targets that are suspected themselves.
 	SuspectedSlots int `codec:"suspected_slots"`
 	// ServingSlots is the capacity of all targets that take work.
@@ -17,7 +16,7 @@
 
 // With returns the sum of what two gates say.
 func (v Vouch) With(o Vouch) Vouch {
-	v.PromisedSlots += o.PromisedSlots
+	v.HealthySlots += o.HealthySlots
 	v.SuspectedSlots += o.SuspectedSlots
 	v.ServingSlots += o.ServingSlots
 	return v
--- a/process/gate/announce.go
+++ b/process/gate/announce.go
@@ -71,7 +71,7 @@
 		p.mu.Unlock()
 	}
 	if found {
-		g.promises.Forget(address)
+		g.bids.Return(address)
 		g.publish()
 	}
 	return found
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -23,7 +23,7 @@
 	client   *relay.Client
 	services Services
 	siblings Siblings
-	promises *floor.Promises
+	bids     *floor.Bids
 	onChange func([]roster.Target)
 
 	mu        sync.Mutex
@@ -56,7 +56,7 @@
 		client:   o.Client,
 		services: o.Services,
 		siblings: o.Siblings,
-		promises: floor.NewPromises(o.Clock()),
+		bids:     floor.NewBids(),
 		onChange: o.OnChange,
 		pools:    map[string]*Pool{},
 	}
--- a/process/gate/health.go
+++ b/process/gate/health.go
@@ -13,7 +13,7 @@
 type Siblings interface {
 	// Ask calls reply once for each gate that answers, and returns when all
 	// have answered or ctx is done; it calls reply no more after that.
-	Ask(ctx context.Context, service string, promise bool, reply func(floor.Vouch))
+	Ask(ctx context.Context, service string, reply func(floor.Vouch))
 }
 
 // Timing of the health loop.
@@ -94,24 +94,24 @@
 	g.bid(ctx, p, t)
 }
 
-// bid asks the siblings to promise the floor and ejects the target if they do.
+// bid asks the siblings to vouch for the floor and ejects the target if they do.
 func (g *Gate) bid(ctx context.Context, p *Pool, t *target) {
 	rules, _ := g.services.Service(p.service)
 	address := t.announced.Address
-	b, ok := g.promises.Begin(address, rules.FloorSlots, g.clock())
+	b, ok := g.bids.Begin(address, rules.FloorSlots)
 	if !ok {
 		p.settle(t, g.clock().Add(bidInterval))
 		return
 	}
-	v := g.collect(ctx, p, t, true)
-	b.Add(v.PromisedSlots)
+	v := g.collect(ctx, p, t)
+	b.Add(v.HealthySlots)
 	if v.IsServiceWide() {
 		b.Abort()
 	} else if g.commit(p, t, b, v) {
 		return
 	}
 	g.logger.Warn("target is suspected but stays", "service", p.service, "target", address,
-		"floor_slots", rules.FloorSlots, "promised_slots", v.PromisedSlots,
+		"floor_slots", rules.FloorSlots, "healthy_slots", v.HealthySlots,
 		"suspected_slots", v.SuspectedSlots, "serving_slots", v.ServingSlots)
 	p.settle(t, g.clock().Add(bidInterval))
 }
@@ -121,7 +121,7 @@
 	now := g.clock()
 	p.mu.Lock()
 	until := now.Add(t.standing.Timeout(now))
-	if !b.Commit(now, until) {
+	if !b.Commit(until) {
 		p.mu.Unlock()
 		return false
 	}
@@ -134,7 +134,7 @@
 	p.refuseWaiting(now)
 	p.mu.Unlock()
 	g.logger.Warn("target is ejected", "service", p.service, "target", t.announced.Address, "until", until,
-		"evidence_nats", evidence, "promised_slots", v.PromisedSlots, "serving_slots", v.ServingSlots)
+		"evidence_nats", evidence, "healthy_slots", v.HealthySlots, "serving_slots", v.ServingSlots)
 	g.publish()
 	return true
 }
@@ -143,27 +143,26 @@
 // the floor since.
 func (g *Gate) recheck(ctx context.Context, p *Pool, t *target) {
 	rules, _ := g.services.Service(p.service)
-	v := g.collect(ctx, p, t, false)
-	if v.PromisedSlots < rules.FloorSlots {
+	v := g.collect(ctx, p, t)
+	if v.HealthySlots < rules.FloorSlots {
 		p.mu.Lock()
 		t.standing.Reinstate()
 		p.mu.Unlock()
-		g.promises.Forget(t.announced.Address)
+		g.bids.Return(t.announced.Address)
 		g.logger.Warn("ejected target is needed for the floor", "service", p.service, "target", t.announced.Address,
-			"floor_slots", rules.FloorSlots, "healthy_slots", v.PromisedSlots)
+			"floor_slots", rules.FloorSlots, "healthy_slots", v.HealthySlots)
 		g.publish()
 	}
 	p.settle(t, g.clock().Add(recheckInterval))
 }
 
-// collect adds up what all gates of the service say; promise asks them to
-// keep their healthy targets in service.
-func (g *Gate) collect(ctx context.Context, p *Pool, t *target, promise bool) floor.Vouch {
+// collect adds up what all gates of the service say of the target's siblings.
+func (g *Gate) collect(ctx context.Context, p *Pool, t *target) floor.Vouch {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	sum := g.vouch(p, t, promise)
+	sum := g.vouch(p, t)
 	var mu sync.Mutex
-	g.siblings.Ask(ctx, p.service, promise, func(v floor.Vouch) {
+	g.siblings.Ask(ctx, p.service, func(v floor.Vouch) {
 		mu.Lock()
 		defer mu.Unlock()
 		sum = sum.With(v)
@@ -171,19 +170,18 @@
 	return sum
 }
 
-// Vouch says how this gate's targets of a service are, and promises the
-// healthy ones to a sibling if it asks for that.
-func (g *Gate) Vouch(service string, promise bool) floor.Vouch {
+// Vouch says how this gate's targets of a service are.
+func (g *Gate) Vouch(service string) floor.Vouch {
 	g.mu.Lock()
 	p, ok := g.pools[service]
 	g.mu.Unlock()
 	if !ok {
 		return floor.Vouch{}
 	}
-	return g.vouch(p, nil, promise)
+	return g.vouch(p, nil)
 }
 
-func (g *Gate) vouch(p *Pool, except *target, promise bool) floor.Vouch {
+func (g *Gate) vouch(p *Pool, except *target) floor.Vouch {
 	now := g.clock()
 	var v floor.Vouch
 	p.mu.Lock()
@@ -196,8 +194,8 @@
 		if t.judge.IsSuspected() {
 			v.SuspectedSlots += t.announced.Slots
 		}
-		if t.isHealthy(now) && (!promise || g.promises.Promise(t.announced.Address, now)) {
-			v.PromisedSlots += t.announced.Slots
+		if t.isHealthy(now) && g.bids.MayVouch(t.announced.Address, now) {
+			v.HealthySlots += t.announced.Slots
 		}
 	}
 	return v
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -22,7 +22,7 @@
 }
 
 // Ask calls reply once for each gate that answers.
-func (s siblings) Ask(ctx context.Context, service string, promise bool, reply func(floor.Vouch)) {
+func (s siblings) Ask(ctx context.Context, service string, reply func(floor.Vouch)) {
 	self := s.roster.Self().ID
 	var wg sync.WaitGroup
 	for _, n := range s.roster.Nodes() {
@@ -33,7 +33,7 @@
 		go func() {
 			defer wg.Done()
 			var v floor.Vouch
-			args := VouchArgs{Service: service, Promise: promise}
+			args := VouchArgs{Service: service}
 			if err := s.pool.Call(ctx, n.ID, "Gate.Vouch", args, &v); err == nil {
 				reply(v)
 			}
@@ -45,8 +45,6 @@
 // VouchArgs asks a gate for its healthy targets of a service.
 type VouchArgs struct {
 	Service string `codec:"service"`
-	// Promise asks that the healthy targets stay in service for floor.Term.
-	Promise bool `codec:"promise"`
 }
 
 // gateService answers under the name Gate.
@@ -56,7 +54,7 @@
 
 // Vouch says how this node's targets of a service are.
 func (s *gateService) Vouch(args VouchArgs, reply *floor.Vouch) error {
-	*reply = s.gate.Vouch(args.Service, args.Promise)
+	*reply = s.gate.Vouch(args.Service)
 	return nil
 }
 
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -25,17 +25,28 @@
 #define ATTEMPTS 2
 #define NOBODY 9
 #ifndef END_OF_TIME
-#define END_OF_TIME 6
+#define END_OF_TIME 8
 #endif
 #ifndef CRASHES
 #define CRASHES 1
 #endif
 /* The rates of clocks are taken as equal here; the margin between the two terms
  * in the code stands for their difference. */
-#define TERM 2
-#define HOLDER_TERM 2
+#define TERM 3
+#define HOLDER_TERM 3
 #define BOUND 1
 
+/* claim.Admits: may a key be begun in a tenure that began at this time? */
+#ifdef NAIVE_TENURE
+#define admitted(key, tenure) (true)
+#else
+#ifdef NAIVE_SKEW
+#define admitted(key, tenure) (key > tenure)
+#else
+#define admitted(key, tenure) (key > tenure + 2*BOUND)
+#endif
+#endif
+
 /* States of an attempt. */
 #define SENT 0
 #define BEGUN 1
@@ -48,12 +59,14 @@
 
 byte granted_to[NODES] = NOBODY;
 byte granted_until[NODES];
-byte run_since[NODES];     /* since when all grants went to granted_to */
 byte quarantine[NODES];    /* a restarted member grants nothing before */
 
-byte since[2];             /* start of the tenure by the node's clock */
+byte since[2];             /* start of the tenure, until the key is issued */
+bool admits[2];            /* then: the tenure may begin the key */
 byte until[2];             /* end of the lease, 0 when over */
-byte end[2];               /* when the tenure certainly was live last */
+bool held[2];              /* a lease was won before */
+byte only[2];              /* a bit for each member that has granted to nobody
+                            * else since the lease was live last */
 bool remembers[2];         /* the node's memory holds the key */
 
 bool issued;
@@ -79,12 +92,14 @@
 	if
 	:: now >= quarantine[m] && (granted_to[m] == c || now >= granted_until[m]) ->
 		if
-		:: granted_to[m] != c -> granted_to[m] = c; run_since[m] = now
+		:: granted_to[m] != c -> granted_to[m] = c; only[1 - c] = only[1 - c] & (7 - (1 << m))
 		:: else
 		fi;
 		granted_until[m] = now + TERM;
 		grants++;
-		if :: run_since[m] < end[c] -> unbroken++ :: else fi
+		if :: only[c] & (1 << m) -> unbroken++ :: else fi;
+		/* A run that begins while the lease is live reaches back to it. */
+		if :: until[c] > now -> only[c] = only[c] | (1 << m) :: else fi
 	:: else
 	fi
 }
@@ -111,18 +126,36 @@
 inline win(c) {
 	if
 #ifdef NAIVE_UNBROKEN
-	:: end[c] > 0
+	:: held[c]
 #else
 	:: unbroken >= MAJORITY
 #endif
-	:: else -> since[c] = now + skew[c]
+	:: else ->
+		if
+		:: issued -> admits[c] = admitted(issued_at, now + skew[c])
+		:: else -> since[c] = now + skew[c]
+		fi
 	fi;
+	held[c] = true;
 #ifdef NAIVE_ASKED
-	until[c] = now + 1 + HOLDER_TERM; /* the answers took a tick */
+	until[c] = now + TERM + HOLDER_TERM; /* the answers took a term */
 #else
 	until[c] = now + HOLDER_TERM;
 #endif
-	end[c] = until[c]
+	/* Whoever grants to the candidate now does so while the lease is live. */
+	if :: granted_to[0] == c -> only[c] = only[c] | 1 :: else fi;
+	if :: granted_to[1] == c -> only[c] = only[c] | 2 :: else fi;
+	if :: granted_to[2] == c -> only[c] = only[c] | 4 :: else fi
+}
+
+inline issue() {
+	d_step {
+		!issued ->
+		issued = true; issued_at = now + caller_skew;
+		admits[0] = held[0] && admitted(issued_at, since[0]);
+		admits[1] = held[1] && admitted(issued_at, since[1]);
+		since[0] = 0; since[1] = 0
+	}
 }
 
 inline receive(i, c) {
@@ -131,13 +164,7 @@
 		issued && attempt[i] == SENT && (i == 0 || attempt[0] != SENT) && now < until[c] ->
 		if
 		:: remembers[c] -> attempt[i] = OVER /* joins or gets the kept answer */
-#ifndef NAIVE_TENURE
-#ifdef NAIVE_SKEW
-		:: !remembers[c] && issued_at <= since[c] -> attempt[i] = OVER
-#else
-		:: !remembers[c] && issued_at <= since[c] + 2*BOUND -> attempt[i] = OVER
-#endif
-#endif
+		:: !remembers[c] && !admits[c] -> attempt[i] = OVER
 		:: !remembers[c] && issued_at > now + skew[c] + BOUND -> attempt[i] = OVER
 		:: else ->
 			remembers[c] = true;
@@ -169,7 +196,8 @@
 }
 
 inline crash_member(m) {
-	granted_to[m] = NOBODY; granted_until[m] = 0; run_since[m] = 0;
+	granted_to[m] = NOBODY; granted_until[m] = 0;
+	only[0] = only[0] & (7 - (1 << m)); only[1] = only[1] & (7 - (1 << m));
 #ifndef NAIVE_RESTART
 	quarantine[m] = now + TERM;
 #endif
@@ -180,7 +208,7 @@
 		crashes < CRASHES ->
 		crashes++;
 		crash_member(c);
-		since[c] = 0; until[c] = 0; end[c] = 0;
+		since[c] = 0; admits[c] = false; until[c] = 0; held[c] = false; only[c] = 0;
 		remembers[c] = false;
 		if :: attempt_at[0] == c -> attempt_at[0] = NOBODY :: else fi;
 		if :: attempt_at[1] == c -> attempt_at[1] = NOBODY :: else fi
@@ -197,7 +225,7 @@
 	attempt_at[0] = NOBODY; attempt_at[1] = NOBODY;
 	do
 	:: d_step { now < END_OF_TIME -> now++; forget_past() }
-	:: d_step { !issued -> issued = true; issued_at = now + caller_skew }
+	:: issue()
 	:: ask(0, 1, 1, 0) :: ask(0, 1, 0, 1) :: ask(0, 0, 1, 1)
 	:: ask(0, 1, 0, 0) :: ask(0, 0, 1, 0) :: ask(0, 0, 0, 1)
 	:: ask(1, 1, 1, 0) :: ask(1, 1, 0, 1) :: ask(1, 0, 1, 1)
