choice: a changed node changes the index, not the fleet

Paid links' bytes are now taken from their budget.

A node that can send but not be reached does flap; that is open.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# make setup installs what the tests need beyond Go; make test runs all of CI.
+GO ?= go
+BIN := bin/cuminwheel
+.PHONY: build demo test setup format vet lint unit spec measure capacity clean
+
+build:
+	$(GO) build -o $(BIN) ./cmd/cuminwheel
+
+demo: build
+	./demo/run.sh $(BIN) bin/demo
+
+test: setup format vet lint unit spec
+	@echo "all checks passed"
+
+setup:
+	@command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin gcc; }
+
+format:
+	@files=$$(gofmt -l .); if [ -n "$$files" ]; then echo "gofmt these files:"; echo "$$files"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+unit:
+	$(GO) test -race ./...
+
+spec:
+	./spec/check.sh
+
+measure: build
+	$(BIN) experiment --seeds 20
+
+capacity: build
+	$(GO) run ./capacity/regenerate
+
+clean:
+	rm -rf bin
--- a/cmd/cuminwheel/check.go
+++ b/cmd/cuminwheel/check.go
@@ -45,7 +45,7 @@
 	}
 	change, err := configuration.ParseChange(r)
 	if err != nil {
-		return change, usageError(errors.Wrapf(err, "%s has faults\n", name))
+		return change, usageError(errors.Wrapf(err, "faults in %s", name))
 	}
 	return change, nil
 }
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -182,6 +182,9 @@
 // that Rest is read under.
 func (a *Answer) OnClose(f func()) { a.onClose = f }
 
+// Len returns the length of the body in bytes, as far as it is known.
+func (a *Answer) Len() int { return int(max(a.size, int64(len(a.Body)))) }
+
 // Write sends the answer on. It reports an error when the answer broke off;
 // the response is then incomplete and the handler must abort its connection.
 func (a *Answer) Write(w http.ResponseWriter, head bool) error {
--- a/experiment/guarded.go
+++ b/experiment/guarded.go
@@ -27,7 +27,6 @@
 	vouch    floor.Vouch
 	closeAt  time.Time
 	tryAt    time.Time
-	trialing bool
 }
 
 // Delays of the fakes and bounds taken from the gate.
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -96,6 +96,9 @@
 		}
 		return nil, problemOf(ctx, err)
 	}
+	if to.Tier == choice.TierRemote {
+		e.nodes.SpendRemote(len(c.body) + answer.Len())
+	}
 	problem := outcome.FromHeader(answer.Header, answer.Status, now)
 	switch {
 	case problem == nil:
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -53,6 +53,8 @@
 	GateOf(node string) (string, bool)
 	// MayUseRemote reports whether the paid links' budget allows a request.
 	MayUseRemote(bytes int) bool
+	// SpendRemote takes what has crossed a paid link from the budget.
+	SpendRemote(bytes int)
 }
 
 // Meter counts what the entry does.
--- a/process/node/directory.go
+++ b/process/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/roster"
@@ -18,11 +19,10 @@
 	mu         sync.Mutex
 	index      choice.Index
 	generation int64
-	rebuildAt  time.Time
-}
 
-// rebuildInterval bounds how often a changing roster is turned into an index.
-const rebuildInterval = 100 * time.Millisecond
+	// remoteBytes counts what has crossed paid links.
+	remoteBytes atomic.Int64
+}
 
 func newDirectory(clock func() time.Time, r *roster.Roster, remoteBytesPerSecond int) *directory {
 	return &directory{
@@ -34,16 +34,14 @@
 
 // Index returns the candidates of all services.
 func (d *directory) Index() choice.Index {
-	now := d.clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	generation := d.roster.Generation()
-	if generation == d.generation || now.Before(d.rebuildAt) {
+	if d.roster.Generation() == d.generation {
 		return d.index
 	}
-	d.index = d.index.With(d.roster.Self(), d.roster.Nodes())
+	changed, generation := d.roster.Changes(d.generation)
+	d.index = d.index.With(d.roster.Self(), changed)
 	d.generation = generation
-	d.rebuildAt = now.Add(rebuildInterval)
 	return d.index
 }
 
@@ -53,12 +51,17 @@
 	return n.Gate, ok && n.Status != roster.StatusGone
 }
 
-// MayUseRemote reports whether the paid links' budget allows a request and
-// takes its bytes from it.
+// MayUseRemote reports whether the paid links' budget allows a request.
 func (d *directory) MayUseRemote(bytes int) bool {
 	return d.budget.allows(bytes, d.clock())
 }
 
+// SpendRemote takes what has crossed a paid link from the budget.
+func (d *directory) SpendRemote(bytes int) {
+	d.remoteBytes.Add(int64(bytes))
+	d.budget.spend(bytes)
+}
+
 // byteBudget is a token bucket of bytes. A budget of 0 sets no bound.
 type byteBudget struct {
 	mu        sync.Mutex
@@ -78,7 +81,6 @@
 	return b.tokens >= float64(bytes)
 }
 
-// spend takes what has crossed a paid link from the budget.
 func (b *byteBudget) spend(bytes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -94,12 +94,13 @@
 		Log: logs, Members: members{pool: pool, granter: granter},
 		Incarnation: strconv.FormatInt(started.UnixMilli(), 10), Random: newRandom(),
 	})
+	directory := newDirectory(time.Now, n.roster, s.RemoteBytesPerSecond)
 	n.entry = entry.New(entry.Options{
 		Clock: time.Now, Logger: l.Named("entry"), Client: client, States: n.journal,
-		Nodes: newDirectory(time.Now, n.roster, s.RemoteBytesPerSecond), Home: n.home,
+		Nodes: directory, Home: n.home,
 		Self: s.Control, Meter: n.meter, Random: newRandom(),
 	})
-	n.addGauges()
+	n.addGauges(directory)
 
 	servers, closeServers, err := n.listen(pool, granter)
 	if err != nil {
@@ -278,7 +279,8 @@
 	}
 }
 
-func (n *Node) addGauges() {
+func (n *Node) addGauges(d *directory) {
+	n.meter.gauge("cuminwheel_remote_bytes", func() float64 { return float64(d.remoteBytes.Load()) })
 	n.meter.gauge("cuminwheel_configuration_version", func() float64 { return float64(n.journal.State().Version) })
 	n.meter.gauge("cuminwheel_log_next_offset", func() float64 { return float64(n.journal.State().Next) })
 	n.meter.gauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.roster.Nodes())) })
--- a/process/roster/feed_test.go
+++ b/process/roster/feed_test.go
@@ -15,7 +15,8 @@
 	"github.com/matryer/is"
 )
 
-// network is a fake of the links between nodes.
+// network is a fake of the links between nodes. A node that is not in it has
+// stopped: it neither takes calls nor makes them.
 type network struct {
 	mu    sync.Mutex
 	nodes map[string]*Service
@@ -31,9 +32,10 @@
 func (c caller) Call(_ context.Context, address, method string, args, reply any) error {
 	c.net.mu.Lock()
 	s, ok := c.net.nodes[address]
+	_, runs := c.net.nodes[c.from]
 	lost := c.net.cut[c.from+">"+address]
 	c.net.mu.Unlock()
-	if !ok || lost {
+	if !ok || !runs || lost {
 		return errors.New("unreachable")
 	}
 	m := reflect.ValueOf(s).MethodByName(method[len("Roster."):])
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -20,8 +20,14 @@
 	rumours map[string]int
 
 	generation atomic.Int64
+	// recent holds the IDs of the newest changes; the last is of generation.
+	recent []string
 }
 
+// maxRecent bounds the changes that Changes can return without the whole
+// roster.
+const maxRecent = 4096
+
 // bucketCount splits the roster for finding differences: at 6,700 nodes a
 // bucket holds 26 records.
 const bucketCount = 256
@@ -70,6 +76,30 @@
 // derived from the roster is still current.
 func (r *Roster) Generation() int64 { return r.generation.Load() }
 
+// Changes returns the records that changed after the given generation, or all
+// if that lies too far back, and the present generation.
+func (r *Roster) Changes(since int64) ([]Node, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	generation := r.generation.Load()
+	missed := generation - since
+	var list []Node
+	if since < 0 || missed > int64(len(r.recent)) {
+		for _, n := range r.nodes {
+			list = append(list, n)
+		}
+		return list, generation
+	}
+	seen := map[string]bool{}
+	for _, id := range r.recent[int64(len(r.recent))-missed:] {
+		if !seen[id] {
+			seen[id] = true
+			list = append(list, r.nodes[id])
+		}
+	}
+	return list, generation
+}
+
 // Announce publishes a change of the own record under the next version.
 func (r *Roster) Announce(edit func(Node) Node) {
 	r.mu.Lock()
@@ -134,6 +164,10 @@
 	r.rumours[n.ID] = 0
 	r.changed = true
 	r.generation.Add(1)
+	r.recent = append(r.recent, n.ID)
+	if len(r.recent) > 2*maxRecent {
+		r.recent = append([]string(nil), r.recent[maxRecent:]...)
+	}
 }
 
 // Digest covers the versions of all records.
--- a/process/roster/service.go
+++ b/process/roster/service.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	var pong PingReply
-	err := s.caller.Call(ctx, args.Target, "Roster.Ping", PingArgs{Target: args.Target}, &pong)
+	err := s.caller.Call(ctx, args.Target, "Roster.Ping", PingArgs(args), &pong)
 	reply.Reached = err == nil
 	return nil
 }
--- a/request/choice/set.go
+++ b/request/choice/set.go
@@ -31,13 +31,25 @@
 // Tried lists the candidates that a request has been sent to already.
 type Tried []*Candidate
 
-// NewSet returns the set of the given candidates.
-func NewSet(list []*Candidate) *Set {
-	s := &Set{}
-	for _, c := range list {
-		s.tiers[c.Tier] = append(s.tiers[c.Tier], c)
+// with returns the set with one more candidate.
+func (s *Set) with(c *Candidate) *Set {
+	next := *s
+	old := s.tiers[c.Tier]
+	next.tiers[c.Tier] = append(old[:len(old):len(old)], c)
+	return &next
+}
+
+// without returns the set without a candidate.
+func (s *Set) without(gone *Candidate) *Set {
+	next := *s
+	var kept []*Candidate
+	for _, c := range s.tiers[gone.Tier] {
+		if c != gone {
+			kept = append(kept, c)
+		}
 	}
-	return s
+	next.tiers[gone.Tier] = kept
+	return &next
 }
 
 // Len returns the number of candidates.
