judgement: evidence must be fresh, grows with age, and trials are scored

Cause of the false ejections under noise: one request of 0.8 s sufficed by itself although the limit was 0.2 s, and a returned target started with half of the evidence. Cause of ejections while the whole service was slow: siblings vouched until half of their own evidence was in. Cause of sick targets coming back: eight passes in a row, which one failure in ten or 3x slower often gives.

Changed: a lone stalled request counts from 8 limits on; ages count more with each doubling; both kinds of evidence add up; evidence must be newer than 250 ms; a quarter of the evidence, or a request over its limit, keeps a target from vouching; a trial is a score that doubles with each relapse.

--- a/experiment/guarded.go
+++ b/experiment/guarded.go
@@ -114,12 +114,14 @@
 func (g *guarded) Ended(target int, work int64, now time.Time, took time.Duration, failed bool) {
 	t := g.gates[target]
 	t.judge.Ended(judgement.Work(work), now, failed)
-	if failed {
-		return
+	if !failed {
+		g.mean = time.Duration((1-meanShare)*float64(g.mean) + meanShare*float64(took))
 	}
-	g.mean = time.Duration((1-meanShare)*float64(g.mean) + meanShare*float64(took))
-	if t.standing.Phase(now) == judgement.PhaseTrial && took <= t.judge.Limit() && t.standing.TrialPassed(now) {
+	switch t.standing.Tried(now, t.judge.IsQuick(took), failed) {
+	case judgement.VerdictReturned:
 		t.judge.Clear(t.standing.Sensitivity())
+	case judgement.VerdictRelapsed:
+		t.judge.Clear(0)
 	}
 }
 
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -312,10 +312,16 @@
 	}
 }
 
-// isRecentlySick allows an ejection in the second after an episode has ended.
+// isRecentlySick allows an ejection after an episode has ended for as long as
+// requests that stalled in it occupy the target.
 func (w *World) isRecentlySick(target int) bool {
-	fault, sick := w.scenario.at(target, w.seconds()-1)
-	return sick && !fault.ServiceWide
+	for _, ago := range []float64{0.5, 1} {
+		fault, sick := w.scenario.at(target, w.seconds()-ago*w.scenario.TimeoutMS/1000)
+		if sick && !fault.ServiceWide {
+			return true
+		}
+	}
+	return false
 }
 
 func (w *World) healthyHours() float64 {
--- a/process/floor/vouch.go
+++ b/process/floor/vouch.go
@@ -12,7 +12,7 @@
 
 // minHealthyShare of the siblings must be unsuspected: if fewer are, the
 // service is slow and no single target is sick.
-const minHealthyShare = 1.0 / 3
+const minHealthyShare = 0.4
 
 // With returns the sum of what two gates say.
 func (v Vouch) With(o Vouch) Vouch {
--- a/process/gate/pool.go
+++ b/process/gate/pool.go
@@ -201,14 +201,17 @@
 	p.grant()
 }
 
-// advanceTrial counts a quick success towards the target's return.
+// advanceTrial takes in a request of a target on trial.
 func (s *Slot) advanceTrial(now time.Time, failed bool) {
 	t := s.target
-	if t.standing.Phase(now) != judgement.PhaseTrial || failed {
+	if t.standing.Phase(now) != judgement.PhaseTrial {
 		return
 	}
-	if now.Sub(s.began) <= t.judge.Limit() && t.standing.TrialPassed(now) {
+	switch t.standing.Tried(now, t.judge.IsQuick(now.Sub(s.began)), failed) {
+	case judgement.VerdictReturned:
 		t.judge.Clear(t.standing.Sensitivity())
+	case judgement.VerdictRelapsed:
+		t.judge.Clear(0)
 	}
 }
 
--- a/process/judgement/dial.go
+++ b/process/judgement/dial.go
@@ -21,10 +21,10 @@
 func DialFor(d configuration.Detection) Dial {
 	switch d {
 	case configuration.DetectFast:
-		return Dial{Threshold: 7, MinSpan: 150 * time.Millisecond, StallAge: 800 * time.Millisecond}
+		return Dial{Threshold: 12, MinSpan: 350 * time.Millisecond, StallAge: 800 * time.Millisecond}
 	case configuration.DetectCareful:
-		return Dial{Threshold: 14, MinSpan: 1200 * time.Millisecond, StallAge: 2500 * time.Millisecond}
+		return Dial{Threshold: 20, MinSpan: 1000 * time.Millisecond, StallAge: 2500 * time.Millisecond}
 	default:
-		return Dial{Threshold: 10, MinSpan: 500 * time.Millisecond, StallAge: 1500 * time.Millisecond}
+		return Dial{Threshold: 16, MinSpan: 500 * time.Millisecond, StallAge: 1500 * time.Millisecond}
 	}
 }
--- a/process/judgement/judge.go
+++ b/process/judgement/judge.go
@@ -10,6 +10,7 @@
 	dial     Dial
 	history  history
 	limit    time.Duration
+	usual    time.Duration
 	stale    int
 	inFlight map[int64]*flight
 	nextID   int64
@@ -27,7 +28,8 @@
 	began time.Time
 	// nextAge is the age at which the request becomes further evidence.
 	nextAge time.Duration
-	counted bool
+	// doublings counts the ages that have been taken as evidence.
+	doublings int
 }
 
 // The test compares two hypotheses about a request: that it outlasts the limit
@@ -38,11 +40,19 @@
 	sickSlowShare    = 0.40
 	healthyFailShare = 0.01
 	sickFailShare    = 0.25
-	// olderShare is the probability that a healthy request older than the
-	// limit gets twice as old again.
-	olderShare = 0.35
-	// suspicionShare of the threshold makes a target suspected.
-	suspicionShare = 0.5
+	// olderEvidence is that of a request which gets twice as old as the limit,
+	// and olderGrowth what each further doubling adds to it: the tail of
+	// healthy latencies falls faster than by a constant share.
+	olderEvidence = 2.0
+	olderGrowth   = 0.5
+	// suspicionShare of the threshold makes a target suspected. It is low, so
+	// that siblings that turn slow together do not vouch while they do.
+	suspicionShare = 0.25
+	// freshness is how new the last evidence must be: a target that has
+	// recovered is not ejected for what is past.
+	freshness = 250 * time.Millisecond
+	// quickShare of a healthy target's requests are quick.
+	quickShare = 0.95
 	// limitMargin widens the limit over the quantile that it is taken from.
 	limitMargin = 1.3
 	// limitEvery is how many latencies pass between two readings of the limit.
@@ -53,6 +63,12 @@
 	firstLimit = 500 * time.Millisecond
 	// minLimit keeps scheduling noise on fast targets from being evidence.
 	minLimit = 10 * time.Millisecond
+	// stallLimits is how many times the limit a request that alone is evidence
+	// enough has outlasted.
+	stallLimits = 8
+	// floorDecay lets each healthy request of a target that was sick before
+	// wear its head start of evidence down.
+	floorDecay = 0.99
 	// cusumCap bounds how much health a target must show after much evidence.
 	cusumCap = 40
 )
@@ -62,12 +78,11 @@
 	quickEvidence = math.Log((1 - sickSlowShare) / (1 - healthySlowShare))
 	failEvidence  = math.Log(sickFailShare / healthyFailShare)
 	passEvidence  = math.Log((1 - sickFailShare) / (1 - healthyFailShare))
-	olderEvidence = math.Log(1 / olderShare)
 )
 
 // New returns a judge that knows no history.
 func New(d Dial) *Judge {
-	return &Judge{dial: d, limit: firstLimit, inFlight: map[int64]*flight{}}
+	return &Judge{dial: d, limit: firstLimit, usual: firstLimit, inFlight: map[int64]*flight{}}
 }
 
 // Began records that the target was given a request.
@@ -91,7 +106,7 @@
 		return
 	}
 	j.failing.add(passEvidence, now)
-	if !f.counted {
+	if f.doublings == 0 {
 		j.slow.add(quickEvidence, now)
 	}
 	j.learn(now.Sub(f.began))
@@ -122,20 +137,34 @@
 // IsSick reports whether the evidence has passed the dial's threshold and has
 // lasted for its span.
 func (j *Judge) IsSick(now time.Time) bool {
-	return j.stalled ||
-		j.slow.passes(j.dial.Threshold, j.dial.MinSpan, now) ||
-		j.failing.passes(j.dial.Threshold, j.dial.MinSpan, now)
+	if j.stalled {
+		return true
+	}
+	since := earliest(j.slow.since, j.failing.since)
+	return j.Evidence() >= j.dial.Threshold &&
+		!since.IsZero() && now.Sub(since) >= j.dial.MinSpan &&
+		(j.slow.isFresh(now) || j.failing.isFresh(now))
 }
 
-// IsSuspected reports whether the evidence is at least half of what makes the
-// target sick. A suspected target does not vouch for the service's floor.
+// IsSuspected reports whether there is a share of the evidence that makes the
+// target sick, or a request in progress that is over the limit. A suspected
+// target does not vouch for the service's floor.
 func (j *Judge) IsSuspected() bool {
-	half := suspicionShare * j.dial.Threshold
-	return j.stalled || j.slow.sum >= half || j.failing.sum >= half
+	for _, f := range j.inFlight {
+		if f.doublings > 0 {
+			return true
+		}
+	}
+	bound := suspicionShare * j.dial.Threshold
+	return j.stalled || j.slow.rises(bound) || j.failing.rises(bound)
 }
 
-// Evidence returns the larger of the two sums, in nats.
-func (j *Judge) Evidence() float64 { return math.Max(j.slow.sum, j.failing.sum) }
+// Evidence returns the sum of both kinds of evidence, in nats.
+func (j *Judge) Evidence() float64 { return j.slow.sum + j.failing.sum }
+
+// IsQuick reports whether a latency is usual for the target when it is healthy.
+// Nearly all requests of a healthy target are quick.
+func (j *Judge) IsQuick(d time.Duration) bool { return d <= j.usual }
 
 // Limit returns the age from which a request is evidence.
 func (j *Judge) Limit() time.Duration { return j.limit }
@@ -144,7 +173,7 @@
 // is the share of the threshold that the sums start from, for a target that
 // has been sick before.
 func (j *Judge) Clear(sensitivity float64) {
-	start := sensitivity * j.dial.Threshold
+	start := sensitivity * j.dial.Threshold / 2
 	j.slow = cusum{sum: start, floor: start}
 	j.failing = cusum{sum: start, floor: start}
 	j.stalled = false
@@ -154,15 +183,20 @@
 func (j *Judge) observe(f *flight, now time.Time) {
 	age := now.Sub(f.began)
 	for age >= f.nextAge {
-		evidence := olderEvidence
-		if !f.counted {
-			evidence = slowEvidence
+		evidence := slowEvidence
+		if f.doublings > 0 {
+			evidence = olderEvidence + olderGrowth*float64(f.doublings-1)
 		}
-		f.counted = true
+		f.doublings++
 		f.nextAge *= 2
 		j.slow.add(evidence, now)
 	}
-	if age >= j.dial.StallAge && age >= 4*j.limit {
+	if f.doublings > 0 {
+		// A request that is over the limit and still in progress is evidence
+		// at every moment.
+		j.slow.last = now
+	}
+	if age >= j.dial.StallAge && age >= stallLimits*j.limit {
 		j.stalled = true
 	}
 }
@@ -180,6 +214,7 @@
 		return
 	}
 	j.stale = 0
+	j.usual = max(minLimit, j.history.quantile(quickShare))
 	q := j.history.quantile(1 - healthySlowShare)
 	j.limit = max(minLimit, time.Duration(limitMargin*float64(q)))
 }
@@ -189,18 +224,33 @@
 	sum   float64
 	floor float64
 	since time.Time
+	last  time.Time
 }
 
 func (c *cusum) add(evidence float64, now time.Time) {
 	if evidence > 0 && c.sum <= c.floor {
 		c.since = now
 	}
+	if evidence > 0 {
+		c.last = now
+	} else {
+		c.floor *= floorDecay
+	}
 	c.sum = math.Min(cusumCap, math.Max(c.floor, c.sum+evidence))
 	if c.sum <= c.floor {
 		c.since = time.Time{}
 	}
 }
 
-func (c *cusum) passes(threshold float64, span time.Duration, now time.Time) bool {
-	return c.sum >= threshold && !c.since.IsZero() && now.Sub(c.since) >= span
+func (c *cusum) isFresh(now time.Time) bool { return now.Sub(c.last) <= freshness }
+
+// rises reports whether the sum is above the floor by the bound.
+func (c *cusum) rises(bound float64) bool { return c.sum-c.floor >= bound }
+
+// earliest returns the earlier of two times, where zero stands for never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
--- a/process/judgement/standing.go
+++ b/process/judgement/standing.go
@@ -7,7 +7,7 @@
 type Standing struct {
 	phase        Phase
 	ejectedUntil time.Time
-	trialPasses  int
+	trialScore   int
 	relapses     int
 	healthySince time.Time
 }
@@ -29,13 +29,18 @@
 const (
 	firstTimeout = 5 * time.Second
 	maxTimeout   = 80 * time.Second
-	trialCount   = 8
+	// The scores of a trial's requests and those that end it.
+	slowScore      = -2
+	failedScore    = -8
+	returnScore    = 8
+	maxReturnScore = 64
+	relapseScore   = -8
 	// relapseMemory is how long a returned target must stay healthy for its
 	// earlier sickness to be forgotten.
 	relapseMemory = 5 * time.Minute
 	// relapseSensitivity is the head start of evidence for each relapse.
-	relapseSensitivity = 0.25
-	maxSensitivity     = 0.5
+	relapseSensitivity = 0.2
+	maxSensitivity     = 0.4
 )
 
 // Phase returns the phase at the given time; an ejection that is over turns
@@ -43,7 +48,7 @@
 func (s *Standing) Phase(now time.Time) Phase {
 	if s.phase == PhaseEjected && !now.Before(s.ejectedUntil) {
 		s.phase = PhaseTrial
-		s.trialPasses = 0
+		s.trialScore = 0
 	}
 	return s.phase
 }
@@ -69,20 +74,46 @@
 func (s *Standing) Reinstate() {
 	if s.phase == PhaseEjected {
 		s.phase = PhaseTrial
-		s.trialPasses = 0
+		s.trialScore = 0
 	}
 }
 
-// TrialPassed records a quick success in the trial and reports whether the
-// target has returned to serving.
-func (s *Standing) TrialPassed(now time.Time) bool {
-	s.trialPasses++
-	if s.phase != PhaseTrial || s.trialPasses < trialCount {
-		return false
+// Verdict is the outcome of a trial so far.
+type Verdict int
+
+// The verdicts.
+const (
+	VerdictOpen Verdict = iota
+	VerdictReturned
+	VerdictRelapsed
+)
+
+// Tried records one request of the trial: quick means usual for the target
+// when healthy, failed that its answer was an error or never came. The target
+// returns when quick requests outweigh the others by a score that doubles with
+// each relapse, and is ejected again when the others outweigh.
+func (s *Standing) Tried(now time.Time, quick, failed bool) Verdict {
+	if s.phase != PhaseTrial {
+		return VerdictOpen
+	}
+	switch {
+	case failed:
+		s.trialScore += failedScore
+	case quick:
+		s.trialScore++
+	default:
+		s.trialScore += slowScore
+	}
+	switch {
+	case s.trialScore <= relapseScore:
+		s.Eject(now)
+		return VerdictRelapsed
+	case s.trialScore >= min(maxReturnScore, returnScore<<min(s.relapses-1, 10)):
+		s.phase = PhaseServing
+		s.healthySince = now
+		return VerdictReturned
 	}
-	s.phase = PhaseServing
-	s.healthySince = now
-	return true
+	return VerdictOpen
 }
 
 // Sensitivity is the share of the threshold that a judge should start from.
