--- a/process/home/members.go
+++ b/process/home/members.go
@@ -29,12 +29,11 @@
 // refreshMembers replaces members that are gone and adds members to a seat
 // that has too few. The holder does so.
 func (k *Keeper) refreshMembers(ctx context.Context, s ledger.Seat) {
-	next := k.pickMembers(s)
 	gone := slices.ContainsFunc(s.Members, k.isGone)
-	if !gone && len(next) <= len(s.Members) {
-		return
+	short := len(s.Members) < wantedMembers && len(k.pickMembers(s)) > len(s.Members)
+	if gone || short {
+		k.replaceMembers(ctx, s, "a member is gone or missing")
 	}
-	k.replaceMembers(ctx, s, "a member is gone or missing")
 }
 
 func (k *Keeper) isGone(node string) bool {
--- a/version/configuration/configuration.go
+++ b/version/configuration/configuration.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"iter"
 	"strings"
 
 	"github.com/cuminwheel/cuminwheel/version/table"
@@ -170,17 +171,36 @@
 
 // FromEntries returns the configuration that e was taken from.
 func FromEntries(e Entries) Configuration {
-	var c Configuration
-	for _, s := range e.Services {
-		c.services = c.services.With(s.Value.Name, s)
-		if !s.Removed {
-			c = c.withRoutes(s.Value)
-		}
+	return Configuration{
+		services: table.Of(func(yield func(string, Entry[Service]) bool) {
+			for _, s := range e.Services {
+				if !yield(s.Value.Name, s) {
+					return
+				}
+			}
+		}),
+		customers: table.Of(func(yield func(string, Entry[Customer]) bool) {
+			for _, u := range e.Customers {
+				if !yield(u.Value.Name, u) {
+					return
+				}
+			}
+		}),
+		routes: table.Of(e.routes()),
 	}
-	for _, u := range e.Customers {
-		c.customers = c.customers.With(u.Value.Name, u)
+}
+
+// routes yields the routes of all services that have not been removed.
+func (e Entries) routes() iter.Seq2[string, Match] {
+	return func(yield func(string, Match) bool) {
+		for _, s := range e.Services {
+			for _, r := range s.Value.Routes {
+				if !s.Removed && !yield(r.PathPrefix, Match{Service: s.Value.Name, Route: r}) {
+					return
+				}
+			}
+		}
 	}
-	return c
 }
 
 // ReseatedService returns a service of ch whose number of claim seats differs
--- a/version/table/table.go
+++ b/version/table/table.go
@@ -94,3 +94,20 @@
 func shardOf(name string) uint64 {
 	return xxhash.Sum64String(name) % shardCount
 }
+
+// Of returns a table of the given entries. It costs one pass, where With
+// copies a shard for each entry.
+func Of[V any](entries iter.Seq2[string, V]) Table[V] {
+	t := Table[V]{shards: new([shardCount]map[string]V)}
+	for name, v := range entries {
+		i := shardOf(name)
+		if t.shards[i] == nil {
+			t.shards[i] = map[string]V{}
+		}
+		if _, exists := t.shards[i][name]; !exists {
+			t.length++
+		}
+		t.shards[i][name] = v
+	}
+	return t
+}
