--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -50,13 +50,13 @@
 	return float64(r.T.Nanoseconds()) / float64(r.N)
 }
 
-// heap returns the bytes of the heap that what make returns holds.
-func heap(make func() any) float64 {
+// heap returns the bytes of the heap that what build returns holds.
+func heap(build func() any) float64 {
 	runtime.GC()
 	runtime.GC()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	kept := make()
+	kept := build()
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
