--- a/cmd/cuminwheel/publish.go
+++ b/cmd/cuminwheel/publish.go
@@ -26,6 +26,7 @@
 			textFlag("node", "127.0.0.1:7002", "control address of any node, which tells the outcome"),
 			textFlag("author", os.Getenv("USER"), "name of the operator"),
 			&cli.Int64Flag{Name: "base", Value: -1, Usage: "configuration version that the change was made from; without it, the version in force at the node"},
+			&cli.DurationFlag{Name: "patience", Usage: "wait so long for the node to be there"},
 			&cli.DurationFlag{Name: "wait", Usage: "wait so long until each known node has the change in force"},
 		},
 		Action: runPublish,
@@ -63,6 +64,7 @@
 	logs, closeLogs := logservice.NewClient(c.String("log"), c.String("stream"))
 	defer closeLogs()
 	p := publisher{fleet: f, log: logs, node: c.String("node"), author: c.String("author"), out: c.Root().Writer}
+	p.awaitNode(ctx, time.Now().Add(c.Duration("patience")))
 	base := c.Int64("base")
 	if base < 0 {
 		now, err := f.version(ctx, p.node)
@@ -85,6 +87,16 @@
 	return nil
 }
 
+// awaitNode waits until the node is ready to tell of the log.
+func (p publisher) awaitNode(ctx context.Context, until time.Time) {
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if reply, err := p.fleet.version(ctx, p.node); err == nil && reply.Ready {
+			return
+		}
+		sleep(ctx, pollInterval)
+	}
+}
+
 // publish appends the record and returns what the fold made of it. The append
 // is repeated only under the same id, of which only the first counts.
 func (p publisher) publish(ctx context.Context, r ledger.Record) (ledger.Decision, error) {
