--- a/process/home/home.go
+++ b/process/home/home.go
@@ -136,7 +136,7 @@
 		answer.Close()
 		return nil, outcome.Failed(outcome.CodeTargetFailed, http.StatusBadGateway, "the answer to the claim is too large to be kept")
 	}
-	run.Answered(claim.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+	run.Answered(claim.Answer{Status: answer.Status, Header: answer.Header.Clone(), Body: answer.Body})
 	return answer, nil
 }
 
--- a/version/configuration/service.go
+++ b/version/configuration/service.go
@@ -6,9 +6,9 @@
 	// FloorSlots is the healthy capacity, in slots, that ejections must leave.
 	FloorSlots int `json:"floor_slots"`
 	// Detection weighs detection time against false ejections.
-	Detection Detection `json:"detection"`
+	Detection Detection `json:"detection,omitempty"`
 	// TimeoutMillis bounds a request whose caller named no deadline.
-	TimeoutMillis int `json:"timeout_ms"`
+	TimeoutMillis int `json:"timeout_ms,omitempty"`
 	// ClaimSeats is how many seats share the service's idempotency keys.
 	ClaimSeats int `json:"claim_seats,omitempty"`
 	// MaxBodyBytes bounds a request body.
