link, home: races found by the race detector at leaving

A round of the keeper could win back the seats that HandOver was giving up, and the flag between them was not synchronised: both now take one lock. Closing an rpc client wrote to the codec that its reader reads; the connection is closed instead, on which the reader ends. The keepers' test started nodes while the first already ran.

--- a/connection/link/pool.go
+++ b/connection/link/pool.go
@@ -35,8 +35,12 @@
 	peers map[string]*peer
 }
 
+// peer is a connection. It is closed by closing conn, on which the client's
+// reader ends: closing the client would write to the codec that its reader
+// reads from.
 type peer struct {
 	client *rpc.Client
+	conn   net.Conn
 	idle   *time.Timer
 }
 
@@ -84,20 +88,20 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	c := rpc.NewClientWithCodec(msgpackrpc.NewClientCodec(conn))
-	return p.keep(address, c), nil
+	return p.keep(address, conn), nil
 }
 
 // keep stores the connection unless another call made one first.
-func (p *Pool) keep(address string, c *rpc.Client) *rpc.Client {
+func (p *Pool) keep(address string, conn net.Conn) *rpc.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known, ok := p.peers[address]; ok {
-		go c.Close()
+		conn.Close()
 		return known.client
 	}
+	c := rpc.NewClientWithCodec(msgpackrpc.NewClientCodec(conn))
 	idle := time.AfterFunc(idleTimeout, func() { p.drop(address, c) })
-	p.peers[address] = &peer{client: c, idle: idle}
+	p.peers[address] = &peer{client: c, conn: conn, idle: idle}
 	return c
 }
 
@@ -106,9 +110,9 @@
 	defer p.mu.Unlock()
 	if known, ok := p.peers[address]; ok && known.client == c {
 		known.idle.Stop()
+		known.conn.Close()
 		delete(p.peers, address)
 	}
-	go c.Close()
 }
 
 func (p *Pool) close() {
@@ -116,7 +120,7 @@
 	defer p.mu.Unlock()
 	for address, known := range p.peers {
 		known.idle.Stop()
+		known.conn.Close()
 		delete(p.peers, address)
-		go known.client.Close()
 	}
 }
--- a/process/home/keeper.go
+++ b/process/home/keeper.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/lease"
@@ -29,7 +30,9 @@
 	// tryAt holds, for each seat that was not won, when to try again.
 	tryAt   map[string]time.Time
 	random  *rand.Rand
-	leaving bool
+	leaving atomic.Bool
+	// mu keeps a round from winning back what HandOver gives up.
+	mu sync.Mutex
 }
 
 // Log takes records. An error leaves open whether the record stands.
@@ -133,7 +136,9 @@
 
 // Round does once what Run does at each interval.
 func (k *Keeper) Round(ctx context.Context) {
-	if k.leaving {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving.Load() {
 		return
 	}
 	state := k.states.State()
--- a/process/home/keeper_test.go
+++ b/process/home/keeper_test.go
@@ -35,6 +35,7 @@
 	granter *lease.Granter
 	keeper  *Keeper
 	roster  *roster.Roster
+	begins  time.Time
 	stop    context.CancelFunc
 }
 
@@ -107,13 +108,16 @@
 			Holder: n.holder, Log: f, Members: n, Incarnation: "1",
 			Random: rand.New(rand.NewPCG(uint64(i), 7)),
 		})
+		n.begins = begins
 		f.nodes[r.ID] = n
+	}
+	for _, n := range f.nodes {
 		var own context.Context
 		own, n.stop = context.WithCancel(ctx)
 		f.running.Add(1)
 		go func() {
 			defer f.running.Done()
-			time.Sleep(time.Until(begins))
+			time.Sleep(time.Until(n.begins))
 			n.keeper.Run(own)
 		}()
 	}
--- a/process/home/members.go
+++ b/process/home/members.go
@@ -15,7 +15,9 @@
 // HandOver gives up the seats that this process holds, before it leaves. The
 // other members win them and replace this one.
 func (k *Keeper) HandOver(ctx context.Context) {
-	k.leaving = true
+	k.leaving.Store(true)
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	var seats []ledger.Seat
 	for _, s := range k.states.State().Seats() {
 		if _, held := k.holder.Tenure(s, k.clock()); held {
@@ -159,7 +161,7 @@
 	self := k.roster.Self().ID
 	var list []roster.Node
 	for _, n := range k.roster.Nodes() {
-		if n.Status == roster.StatusAlive && !(k.leaving && n.ID == self) {
+		if n.Status == roster.StatusAlive && !(k.leaving.Load() && n.ID == self) {
 			list = append(list, n)
 		}
 	}
