--- a/version/configuration/change.go
+++ b/version/configuration/change.go
@@ -114,7 +114,13 @@
 	return &FaultsError{Faults: k.faults}
 }
 
+// syntaxFault names the line of the fault; offset is where reading stood, for
+// errors that do not say where they are.
 func syntaxFault(raw []byte, offset int64, err error) error {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
 	line := 1 + bytes.Count(raw[:min(int(offset), len(raw))], []byte("\n"))
 	return &FaultsError{Faults: []Fault{{
 		Path:   fmt.Sprintf("line %d", line),
