home: replacing a member neither waits for it nor stops other seats

A holder whose lease is live when the majority has closed knows that nobody else's is, so it proposes at once; others come back later instead of waiting. A proposer asks again as soon as its record is folded. Closing no longer shortens a grant that was given.

--- a/process/home/keeper.go
+++ b/process/home/keeper.go
@@ -60,7 +60,7 @@
 	// of each grant, or lease.Refused.
 	Grant(ctx context.Context, member, candidate string, seats []Ask) ([]time.Duration, error)
 	// Close asks a member to grant no more under a seat's epoch and returns
-	// how long its last grant still lasts. candidate has stopped serving.
+	// how long its last grant to anybody but candidate still lasts.
 	Close(ctx context.Context, member, candidate string, seat Ask) (time.Duration, error)
 	// Release gives a member's grants back. candidate has stopped serving. If
 	// it hands the seats over, the first of the other members is to win them
@@ -106,6 +106,10 @@
 	yieldTime = 800 * time.Millisecond
 	// maxBackOff bounds the random wait after a seat was not won.
 	maxBackOff = 2 * time.Second
+	// foldPatience and foldPoll are how long, and how often, a keeper looks for
+	// what it proposed.
+	foldPatience = 500 * time.Millisecond
+	foldPoll     = 10 * time.Millisecond
 	// maxOffered bounds the seats that wait to be taken over.
 	maxOffered = 256
 	// wantedMembers lets a seat lose one member without the log.
@@ -176,18 +180,61 @@
 	state := k.states.State()
 	seats := k.wanted(state.Seats())
 	k.ask(ctx, seats)
+	var proposed []ledger.Seat
 	for _, s := range seats {
-		_, held := k.holder.Tenure(s, k.clock())
-		switch {
-		case held:
-			k.refreshMembers(ctx, s)
-		case k.members.IsClosed(s, k.clock().Add(-proposalRetry)):
-			k.replaceMembers(ctx, s, "the epoch was closed and has no successor")
+		if next, ok := k.renewMembers(ctx, s); ok {
+			proposed = append(proposed, next)
 		}
 	}
+	k.ask(ctx, k.awaitFold(ctx, proposed))
 	k.fillVacant(ctx, state)
 }
 
+// renewMembers proposes other members for a seat that needs them.
+func (k *Keeper) renewMembers(ctx context.Context, s ledger.Seat) (ledger.Seat, bool) {
+	_, held := k.holder.Tenure(s, k.clock())
+	switch {
+	case held && k.needsMembers(s):
+		return k.replaceMembers(ctx, s, "a member is gone or missing")
+	case !held && k.members.IsClosed(s, k.clock().Add(-proposalRetry)):
+		return k.replaceMembers(ctx, s, "the epoch was closed and has no successor")
+	}
+	return ledger.Seat{}, false
+}
+
+// awaitFold waits shortly for proposed seats to show in the log and returns
+// those that do and have this node as a member, so that their holder asks for
+// them again at once.
+func (k *Keeper) awaitFold(ctx context.Context, proposed []ledger.Seat) []ledger.Seat {
+	var folded []ledger.Seat
+	until := k.clock().Add(foldPatience)
+	for _, next := range proposed {
+		for {
+			s, _ := k.states.State().Seat(next.Service, next.Index)
+			if s.Epoch >= next.Epoch {
+				if slices.Contains(s.Members, k.roster.Self().ID) {
+					folded = append(folded, s)
+				}
+				break
+			}
+			if !k.clock().Before(until) || ctx.Err() != nil {
+				break
+			}
+			pause(ctx, foldPoll)
+		}
+	}
+	return folded
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // wanted returns the seats that this node holds or should try to win: the
 // preferred member at once, the others one after another.
 func (k *Keeper) wanted(all []ledger.Seat) []ledger.Seat {
--- a/process/home/keeper_test.go
+++ b/process/home/keeper_test.go
@@ -317,3 +317,36 @@
 		f.running.Wait()
 	})
 }
+
+// Replacing a member that has only just started must neither wait for it nor
+// keep the holder from renewing its other seats.
+func TestKeeperReplacesMemberAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newSeatFleet()
+		f.start(ctx, 6, 0)
+		time.Sleep(30 * time.Second)
+		before, _ := f.journal.State().Seat("reparto", 0)
+		holder := f.holders(0)[0]
+		var others []string
+		for _, m := range before.Members {
+			if m != holder {
+				others = append(others, m)
+			}
+		}
+		if others[1] == f.holders(1)[0] {
+			others[0], others[1] = others[1], others[0] // the holder of the other seat lives
+		}
+		f.mu.Lock()
+		f.nodes[others[0]].granter = lease.NewGranter(others[0], time.Now()) // it restarted
+		f.mu.Unlock()
+		f.kill(others[1])
+		time.Sleep(lease.RenewInterval + 100*time.Millisecond)
+		after, _ := f.journal.State().Seat("reparto", 0)
+		is.Equal(after.Epoch, before.Epoch+1)
+		is.Equal(len(f.holders(1)), 1) // the other seat is served meanwhile
+		cancel()
+		f.running.Wait()
+	})
+}
--- a/process/home/members.go
+++ b/process/home/members.go
@@ -28,14 +28,12 @@
 	k.release(ctx, seats, true)
 }
 
-// refreshMembers replaces members that are gone and adds members to a seat
-// that has too few. The holder does so.
-func (k *Keeper) refreshMembers(ctx context.Context, s ledger.Seat) {
-	gone := slices.ContainsFunc(s.Members, k.isGone)
-	short := len(s.Members) < wantedMembers && len(k.pickMembers(s)) > len(s.Members)
-	if gone || short {
-		k.replaceMembers(ctx, s, "a member is gone or missing")
+// needsMembers reports whether a member of the seat is gone or missing.
+func (k *Keeper) needsMembers(s ledger.Seat) bool {
+	if slices.ContainsFunc(s.Members, k.isGone) {
+		return true
 	}
+	return len(s.Members) < wantedMembers && len(k.pickMembers(s)) > len(s.Members)
 }
 
 func (k *Keeper) isGone(node string) bool {
@@ -43,23 +41,32 @@
 	return !ok || n.Status != roster.StatusAlive
 }
 
-// replaceMembers closes the seat's epoch at a majority, waits until their
-// grants are over and only then puts the next epoch into the log. It begins
-// only while the log answers, since a closed seat serves nobody.
-func (k *Keeper) replaceMembers(ctx context.Context, s ledger.Seat, reason string) {
+// replaceMembers closes the seat's epoch at a majority and puts the next epoch
+// into the log once no lease of the present one is live. It begins only while
+// the log answers, since a closed seat serves nobody.
+//
+// A holder whose own lease is live when the majority has closed knows that
+// nobody else's is, and stops its own. Any other node comes back when the
+// grants of those who closed are over.
+func (k *Keeper) replaceMembers(ctx context.Context, s ledger.Seat, reason string) (ledger.Seat, bool) {
 	next := s
 	next.Epoch++
 	next.Members = k.pickMembers(s)
 	if len(next.Members) == 0 || !k.mayPropose(next) || k.log.Ping(ctx) != nil {
-		return
+		return next, false
 	}
-	k.holder.Stop(s, k.clock())
 	over, closed := k.closeEpoch(ctx, s)
 	if closed < lease.Majority(s) {
-		return
+		return next, false
+	}
+	now := k.clock()
+	_, isHolder := k.holder.Tenure(s, now)
+	if !isHolder && now.Before(over) {
+		return next, false
 	}
-	k.pauseUntil(ctx, over)
+	k.holder.Stop(s, now)
 	k.propose(ctx, next, reason)
+	return next, true
 }
 
 // closeEpoch returns how many members closed the epoch and when the last of
@@ -81,15 +88,6 @@
 	return over, closed
 }
 
-func (k *Keeper) pauseUntil(ctx context.Context, t time.Time) {
-	timer := time.NewTimer(t.Sub(k.clock()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // fillVacant proposes the first members of seats that have none. The node that
 // the hash prefers does so; the first in the log wins if views differ.
 func (k *Keeper) fillVacant(ctx context.Context, state ledger.State) {
--- a/process/lease/granter.go
+++ b/process/lease/granter.go
@@ -83,22 +83,21 @@
 }
 
 // Close ends the granting under the seat's epoch for good and returns when the
-// last grant is over. by is the candidate that closes, which has stopped
-// serving.
+// last grant that did not go to the candidate by is over. Grants that were
+// given stay in force, also against candidates of the next epoch.
 func (g *Granter) Close(s ledger.Seat, by string, now time.Time) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	last := g.grants[s.Key()]
-	over := g.started.Add(Term)
-	if last.to != by && last.until.After(over) {
-		over = last.until
-	}
 	if last.epoch != s.Epoch || last.closedAt.IsZero() {
 		last.closedAt = now
 	}
 	last.epoch = s.Epoch
-	last.until = over
 	g.grants[s.Key()] = last
+	over := g.started.Add(Term)
+	if last.to != by && last.until.After(over) {
+		over = last.until
+	}
 	return over
 }
 
