judgement: a target that serves again has recovered

The new tests of the judge showed that a target was ejected up to 250 ms after a pause was over, although it served again. Evidence now counts as fresh only while no request that began after it has ended in time.

--- a/process/judgement/judge.go
+++ b/process/judgement/judge.go
@@ -154,7 +154,7 @@
 	since := earliest(j.slow.since, j.failing.since)
 	return j.Evidence() >= j.dial.Threshold &&
 		!since.IsZero() && now.Sub(since) >= j.dial.MinSpan &&
-		(j.slow.isFresh(now) || j.failing.isFresh(now))
+		j.isFresh(now)
 }
 
 // IsSuspected reports whether there is a share of the evidence that makes the
@@ -170,6 +170,13 @@
 	return j.stalled || j.slow.rises(bound) || j.failing.rises(bound)
 }
 
+// isFresh reports whether the last evidence is new and no request that began
+// after it has ended in time: a target that serves again has recovered.
+func (j *Judge) isFresh(now time.Time) bool {
+	last := later(j.slow.last, j.failing.last)
+	return now.Sub(last) <= freshness && !j.quickBegan.After(last)
+}
+
 // Evidence returns the sum of both kinds of evidence, in nats.
 func (j *Judge) Evidence() float64 { return j.slow.sum + j.failing.sum }
 
@@ -266,8 +273,6 @@
 	}
 }
 
-func (c *cusum) isFresh(now time.Time) bool { return now.Sub(c.last) <= freshness }
-
 // rises reports whether the sum is above the floor by the bound.
 func (c *cusum) rises(bound float64) bool { return c.sum-c.floor >= bound }
 
--- /dev/null
+++ b/process/judgement/judge_test.go
@@ -0,0 +1,169 @@
+package judgement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// learned returns a judge that has seen many requests of 20 ms, and the time
+// after them.
+func learned(d configuration.Detection) (*Judge, time.Time) {
+	j := New(DialFor(d))
+	now := start
+	for range 1000 {
+		w := j.Began(now)
+		now = now.Add(20 * time.Millisecond)
+		j.Ended(w, now, false)
+	}
+	return j, now
+}
+
+// sickAfter returns when the judge calls the target sick while step goes on
+// every 20 ms, or -1 if it does not within the time.
+func sickAfter(j *Judge, from time.Time, within time.Duration, step func(now time.Time, i int)) time.Duration {
+	for i := range int(within / (20 * time.Millisecond)) {
+		now := from.Add(time.Duration(i) * 20 * time.Millisecond)
+		step(now, i)
+		j.Tick(now)
+		if j.IsSick(now) {
+			return now.Sub(from)
+		}
+	}
+	return -1
+}
+
+func TestJudgeFindsSickness(t *testing.T) {
+	tests := []struct {
+		name   string
+		dial   configuration.Detection
+		step   func(j *Judge) func(now time.Time, i int)
+		within time.Duration
+		sick   bool
+	}{
+		{"three requests stall, fast", configuration.DetectFast, stall(3), time.Second, true},
+		{"one request stalls, fast", configuration.DetectFast, stall(1), time.Second, true},
+		{"three requests stall, careful", configuration.DetectCareful, stall(3), 2 * time.Second, true},
+		{"a pause of 300 ms, fast", configuration.DetectFast, pauseOf(300 * time.Millisecond), 5 * time.Second, false},
+		{"a pause of 900 ms, careful", configuration.DetectCareful, pauseOf(900 * time.Millisecond), 5 * time.Second, false},
+		{"one of three fails, fast", configuration.DetectFast, failing(3), 3 * time.Second, true},
+		{"one of a hundred fails, fast", configuration.DetectFast, failing(100), 60 * time.Second, false},
+		{"one old request, others quick", configuration.DetectFast, oldAmongQuick, 10 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			j, now := learned(test.dial)
+			got := sickAfter(j, now, test.within, test.step(j))
+			is.Equal(got >= 0, test.sick)
+		})
+	}
+}
+
+// stall begins requests that never end.
+func stall(count int) func(*Judge) func(time.Time, int) {
+	return func(j *Judge) func(time.Time, int) {
+		return func(now time.Time, i int) {
+			if i < count {
+				j.Began(now)
+			}
+		}
+	}
+}
+
+// pauseOf stops two requests for a time, after which quick ones follow.
+func pauseOf(d time.Duration) func(*Judge) func(time.Time, int) {
+	return func(j *Judge) func(time.Time, int) {
+		var held []Work
+		var began time.Time
+		return func(now time.Time, i int) {
+			switch {
+			case i == 0:
+				began = now
+				held = []Work{j.Began(now), j.Began(now)}
+			case now.Sub(began) == d:
+				for _, w := range held {
+					j.Ended(w, now, false)
+				}
+			case now.Sub(began) > d:
+				w := j.Began(now.Add(-20 * time.Millisecond))
+				j.Ended(w, now, false)
+			}
+		}
+	}
+}
+
+// failing ends each request at once, one in every with a failure.
+func failing(every int) func(*Judge) func(time.Time, int) {
+	return func(j *Judge) func(time.Time, int) {
+		return func(now time.Time, i int) {
+			w := j.Began(now.Add(-20 * time.Millisecond))
+			j.Ended(w, now, i%every == every-1)
+		}
+	}
+}
+
+func oldAmongQuick(j *Judge) func(time.Time, int) {
+	return func(now time.Time, i int) {
+		if i == 0 {
+			j.Began(now)
+			return
+		}
+		w := j.Began(now.Add(-10 * time.Millisecond))
+		j.Ended(w, now, false)
+	}
+}
+
+// Abandoned requests say nothing but what their age said.
+func TestAbandonedIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	j, now := learned(configuration.DetectFast)
+	for range 100 {
+		w := j.Began(now)
+		now = now.Add(10 * time.Millisecond)
+		j.Abandoned(w, now)
+	}
+	is.Equal(j.Evidence(), 0.0)
+	is.True(j.IsIdle())
+}
+
+// Time outs double with each relapse, and a trial gets longer.
+func TestStandingDoublesTimeouts(t *testing.T) {
+	is := is.New(t)
+	var s Standing
+	now := start
+	for _, want := range []time.Duration{5, 10, 20, 40, 80, 80} {
+		is.Equal(s.Timeout(now), want*time.Second)
+		s.Eject(now)
+		is.Equal(s.Phase(now), PhaseEjected)
+		now = s.EjectedUntil()
+		is.Equal(s.Phase(now), PhaseTrial)
+	}
+	passes := 0
+	for s.Tried(now, true, false) == VerdictOpen {
+		passes++
+	}
+	is.Equal(passes, maxReturnScore-1)
+	is.Equal(s.Phase(now), PhaseServing)
+	is.Equal(s.Timeout(now.Add(relapseMemory+1)), firstTimeout) // forgotten
+}
+
+func TestTrialFailsOnOneFailure(t *testing.T) {
+	is := is.New(t)
+	var s Standing
+	s.Eject(start)
+	now := s.EjectedUntil()
+	is.Equal(s.Phase(now), PhaseTrial)
+	is.Equal(s.Tried(now, false, true), VerdictRelapsed)
+	is.Equal(s.Phase(now), PhaseEjected)
+	s.Reinstate()
+	is.Equal(s.Phase(now), PhaseTrial)
+	for range 4 {
+		s.Tried(now, false, false) // slow
+	}
+	is.Equal(s.Phase(now), PhaseEjected)
+}
