gate: a waiter that left is no longer counted in the queue

Read in review: the queue's length, from which waits are estimated, went on counting callers that had gone until their place came up, so that a stalled target's gate refused requests too soon.

--- a/process/gate/pool.go
+++ b/process/gate/pool.go
@@ -85,7 +85,7 @@
 	case <-timer.C:
 	}
 	p.mu.Lock()
-	w.gone = true
+	p.queue.leave(w)
 	p.mu.Unlock()
 	select {
 	case s := <-w.granted:
--- a/process/gate/pool_test.go
+++ b/process/gate/pool_test.go
@@ -156,6 +156,7 @@
 		cancel()
 		is.Equal((<-results).Outcome, outcome.NotRun)
 		is.Equal((<-results).Code, outcome.CodeNotInTime)
+		is.Equal(p.queue.length, 0) // nobody is counted who has left
 		held.End(false)
 		s, _, problem := p.Acquire(t.Context(), ask("next", time.Second))
 		is.True(problem == nil)
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -7,7 +7,9 @@
 	ask     Ask
 	granted chan *Slot
 	refused chan struct{}
-	gone    bool
+	// left means that the waiter is no longer counted: it was granted or
+	// refused, or its caller went away.
+	left bool
 }
 
 // queue serves customers in turn, so that one with many requests does not
@@ -30,6 +32,14 @@
 	q.length++
 }
 
+// leave stops counting a waiter, whose place in the list is dropped later.
+func (q *queue) leave(w *waiter) {
+	if !w.left {
+		w.left = true
+		q.length--
+	}
+}
+
 // pop returns the next waiter that accept allows and that can still be served
 // in time.
 func (q *queue) pop(now time.Time, accept func(Ask) bool) *waiter {
@@ -59,13 +69,14 @@
 	list := q.byCustomer[c]
 	for len(list) > 0 {
 		head := list[0]
-		if !head.gone && now.Before(head.ask.Deadline) && !accept(head.ask) {
+		isWaiting := !head.left && now.Before(head.ask.Deadline)
+		if isWaiting && !accept(head.ask) {
 			q.byCustomer[c] = list
 			return nil, true
 		}
 		list = list[1:]
-		q.length--
-		if !head.gone && now.Before(head.ask.Deadline) {
+		q.leave(head)
+		if isWaiting {
 			q.byCustomer[c] = list
 			return head, false
 		}
@@ -79,7 +90,8 @@
 	var all []*waiter
 	for _, list := range q.byCustomer {
 		for _, w := range list {
-			if !w.gone {
+			if !w.left {
+				w.left = true
 				all = append(all, w)
 			}
 		}
