entry: an idempotent request moves on from a gate that does not answer

A frozen VM takes connections and never answers: with a node frozen for 6 s, 37 of 2556 requests were reads that waited for their deadline there. After half of the time left an idempotent attempt now gives way to another, within the retry budget. The new test fails without it.

--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -13,6 +13,8 @@
 	plotWidth   = 18 * vg.Centimeter
 	plotHeight  = 11 * vg.Centimeter
 	plotSeconds = 30
+	// legendRoom leaves space for the legend above the lines.
+	legendRoom = 1.5
 )
 
 // Plot draws, for each row, the rate of work that began at sick targets since
@@ -35,6 +37,7 @@
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Wrap(err, "plot")
 	}
+	p.Y.Max *= legendRoom
 	if err := p.Save(plotWidth, plotHeight, file); err != nil {
 		return errors.Wrap(err, "save plot")
 	}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -86,7 +86,9 @@
 func (e *Entry) attempt(ctx context.Context, c *call, to *choice.Candidate, attempt int) (*relay.Answer, *outcome.Problem) {
 	began := e.clock()
 	to.Begin()
-	answer, err := e.client.Send(ctx, to.Address, c.toGate(attempt))
+	sending, stop := e.moveOnHalfway(ctx, c, attempt)
+	answer, err := e.client.Send(sending, to.Address, c.toGate(attempt))
+	stop()
 	now := e.clock()
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -94,6 +96,9 @@
 		} else {
 			to.Failed(now)
 		}
+		if errors.Is(context.Cause(sending), errMovedOn) {
+			return nil, errMovedOn
+		}
 		return nil, relay.ProblemOf(ctx, err, "gate", outcome.CodeGateLost)
 	}
 	if to.Tier == choice.TierRemote {
@@ -114,6 +119,28 @@
 	return nil, problem
 }
 
+// errMovedOn ends an attempt in favour of another, which is paid for already.
+var errMovedOn = outcome.Failed(outcome.CodeSlowGate, http.StatusGatewayTimeout,
+	"the gate gave no answer in half of the time that was left")
+
+// moveOnHalfway returns a context for one attempt at an idempotent request that
+// ends when half of the time is over and the budget allows a retry: a gate
+// whose VM is frozen takes connections and never answers. stop keeps the
+// context from ending so.
+func (e *Entry) moveOnHalfway(ctx context.Context, c *call, attempt int) (sending context.Context, stop func()) {
+	if !c.isIdempotent() || attempt == maxAttempts {
+		return ctx, func() {}
+	}
+	sending, cancel := context.WithCancelCause(ctx)
+	half := c.deadline.Sub(e.clock()) / 2
+	timer := time.AfterFunc(half, func() {
+		if e.budget.spend() {
+			cancel(errMovedOn)
+		}
+	})
+	return sending, func() { timer.Stop() }
+}
+
 func retryTime(p *outcome.Problem, now time.Time) time.Time {
 	if p.RetryAt.IsZero() {
 		return now.Add(refusedPause)
@@ -126,8 +153,8 @@
 	switch p.Code {
 	case outcome.CodeBadRequest, outcome.CodeBodyTooLarge:
 		return false
-	case outcome.CodeNoTarget, outcome.CodeLeaving:
-		// The gate was not loaded by the attempt.
+	case outcome.CodeNoTarget, outcome.CodeLeaving, outcome.CodeSlowGate:
+		// The gate was not loaded by the attempt, or the retry is paid for.
 		return true
 	}
 	if p.Outcome == outcome.NotRun || c.isIdempotent() {
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// A gate that takes requests and never answers, as on a frozen VM, costs an
+// idempotent request half of its time and not its answer.
+func TestMovesOnFromSilentGate(t *testing.T) {
+	tests := []struct {
+		method string
+		want   outcome.Outcome
+		code   outcome.Code
+		tries  int64
+	}{
+		{"GET", outcome.Answered, "", 1},
+		{"POST", outcome.Unknown, outcome.CodeTimeout, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.method, func(t *testing.T) {
+			is := is.New(t)
+			silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+			second := &fakeGate{behave: answers}
+			e := newTestEntry(t, &fakeGate{behave: silent}, second)
+			r := httptest.NewRequest(test.method, "/reparto", nil)
+			r.Header.Set(outcome.HeaderTimeout, "1000")
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, r)
+			is.Equal(outcome.Outcome(w.Header().Get(outcome.HeaderOutcome)), test.want)
+			is.Equal(outcome.Code(w.Header().Get(outcome.HeaderCode)), test.code)
+			is.Equal(second.attempts.Load(), test.tries)
+		})
+	}
+}
+
 // What is wrong with a request is told before any gate sees it.
 func TestRefusesBadRequests(t *testing.T) {
 	key := "9f1c5a3e-6f0b-4c8e-8a3f-1f2d3c4b5a69"
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -48,6 +48,7 @@
 const (
 	CodeTimeout         Code = "timeout"
 	CodeTargetFailed    Code = "target_failed"
+	CodeSlowGate        Code = "slow_gate"
 	CodeAnswerCut       Code = "answer_cut_short"
 	CodeAnswerCrossed   Code = "answer_crossed"
 	CodeGateLost        Code = "gate_lost"
