roster: a node refutes its death only when a witness reaches it

A node that can send and not be reached was called gone, refuted that by a rumour, was tried again by all entries and called gone again, every few seconds. It now asks another node to reach it before it refutes. The new test failed without that: the node came back within the five minutes that it was cut off for.

--- a/process/roster/feed.go
+++ b/process/roster/feed.go
@@ -22,6 +22,8 @@
 	logger hclog.Logger
 	random *rand.Rand
 	seeds  []string
+	// answerAt is when an accusation may be answered again.
+	answerAt time.Time
 }
 
 // Timing and bounds of the feed.
@@ -30,6 +32,7 @@
 	digestInterval = 5 * time.Second
 	joinInterval   = 500 * time.Millisecond
 	feedTimeout    = 2 * time.Second
+	answerInterval = 2 * time.Second
 	rumoursPerCall = 64
 	localShare     = 0.80
 	regionShare    = 0.95
@@ -53,6 +56,7 @@
 	for {
 		select {
 		case <-rumours.C:
+			f.answerAccusation(ctx)
 			f.pushRumours(ctx)
 		case <-digests.C:
 			f.compareDigests(ctx)
@@ -73,6 +77,31 @@
 	}
 }
 
+// answerAccusation refutes that this node is gone, but only once another node
+// reaches it: one that can send and not be reached would otherwise be called
+// gone and come back without end.
+func (f *Feed) answerAccusation(ctx context.Context) {
+	now := time.Now()
+	if !f.roster.IsAccused() || now.Before(f.answerAt) {
+		return
+	}
+	f.answerAt = now.Add(answerInterval)
+	peer, ok := f.pickPeer()
+	if ok && !f.isReachedBy(ctx, peer) {
+		f.logger.Warn("called gone, and not reached by a witness", "witness", peer.ID)
+		return
+	}
+	f.roster.Refute()
+}
+
+func (f *Feed) isReachedBy(ctx context.Context, peer Node) bool {
+	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+	defer cancel()
+	var reply WitnessReply
+	err := f.caller.Call(ctx, peer.ID, "Roster.Witness", WitnessArgs{Target: f.roster.self}, &reply)
+	return err == nil && reply.Reached
+}
+
 // join asks a seed for the whole roster while no living peer is known.
 func (f *Feed) join(ctx context.Context) {
 	if _, ok := f.pickPeer(); ok {
--- a/process/roster/feed_test.go
+++ b/process/roster/feed_test.go
@@ -182,3 +182,41 @@
 		}
 	}
 }
+
+// A node that can send and not be reached stays gone for the others and does
+// not come and go with each rumour; it is back once it can be reached.
+func TestUnreachableNodeStaysGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx)
+		ids := []string{"a", "b", "c", "d", "e"}
+		for _, id := range ids {
+			f.start(Node{ID: id, DataCentre: "dc", Region: "r"}, "a")
+		}
+		time.Sleep(10 * time.Second)
+		f.cutInto("b", true)
+		time.Sleep(15 * time.Second)
+		gone, _ := f.rosters["a"].Node("b")
+		is.Equal(gone.Status, StatusGone)
+		time.Sleep(5 * time.Minute)
+		later, _ := f.rosters["a"].Node("b")
+		is.Equal(later.Status, StatusGone)
+		is.Equal(later.Version, gone.Version) // it did not come back meanwhile
+		f.cutInto("b", false)
+		time.Sleep(30 * time.Second)
+		back, _ := f.rosters["a"].Node("b")
+		is.Equal(back.Status, StatusAlive)
+		cancel()
+		f.running.Wait()
+	})
+}
+
+// cutInto loses all calls to a node; its own go through.
+func (f *fleet) cutInto(id string, cut bool) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for other := range f.net.nodes {
+		f.net.cut[other+">"+id] = cut
+	}
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -18,6 +18,8 @@
 	ring    []string
 	changed bool
 	rumours map[string]int
+	// accusation is a record of the own node that others spread.
+	accusation *Node
 
 	generation atomic.Int64
 	// recent holds the IDs of the newest changes; the last is of generation.
@@ -121,7 +123,7 @@
 }
 
 // Merge takes in records from a peer and returns how many were news. A record
-// that calls the own node gone is answered by a newer one.
+// that calls the own node gone is kept as an accusation.
 func (r *Roster) Merge(list []Node) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,7 +133,7 @@
 			continue
 		}
 		if n.ID == r.self {
-			r.refute(n)
+			r.accuse(n)
 			continue
 		}
 		known, ok := r.nodes[n.ID]
@@ -144,14 +146,36 @@
 	return news
 }
 
-// refute publishes the own record above a version that others spread. Records
+// accuse remembers that others spread a newer record of the own node. Records
 // of a later incarnation are left alone: this process has been replaced.
-func (r *Roster) refute(n Node) {
+func (r *Roster) accuse(n Node) {
 	own := r.nodes[r.self]
 	if n.Incarnation > own.Incarnation || !n.overrides(own) {
 		return
 	}
-	own.Version = n.Version + 1
+	if r.accusation == nil || n.overrides(*r.accusation) {
+		r.accusation = &n
+	}
+}
+
+// IsAccused reports whether others spread a newer record of the own node,
+// which calls it gone.
+func (r *Roster) IsAccused() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accusation != nil
+}
+
+// Refute publishes the own record above the version that others spread.
+func (r *Roster) Refute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.accusation == nil {
+		return
+	}
+	own := r.nodes[r.self]
+	own.Version = max(own.Version, r.accusation.Version) + 1
+	r.accusation = nil
 	r.store(own)
 }
 
