entry: claims turn to the other members after a silent holder

A frozen holder stayed first in the order of members after each timeout, so that claims waited there although another member had won the seat.

--- a/process/entry/claims.go
+++ b/process/entry/claims.go
@@ -73,10 +73,15 @@
 		} else {
 			answer, problem = e.sendHome(ctx, c, seat.Index, member)
 		}
-		if !isElsewhere(problem) {
+		switch {
+		case isElsewhere(problem):
+			continue
+		case problem != nil && (problem.Code == outcome.CodeTimeout || problem.Code == outcome.CodeGateLost):
+			e.holders.silent(seat, member)
+		default:
 			e.holders.found(seat, member)
-			return answer, problem
 		}
+		return answer, problem
 	}
 	return nil, problem
 }
@@ -110,6 +115,13 @@
 	return list
 }
 
+// silent puts the member after a silent one first: the silent one may be frozen
+// and have lost the seat.
+func (h *holders) silent(s ledger.Seat, member string) {
+	i := slices.Index(s.Members, member)
+	h.found(s, s.Members[(i+1)%len(s.Members)])
+}
+
 func (h *holders) found(s ledger.Seat, member string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -250,3 +250,18 @@
 	is.Equal(got.Get("Cuminwheel-Idempotent"), "")
 	is.True(got.Get(outcome.HeaderRequestID) != "forged")
 }
+
+// After a silent holder the other members come first, since one of them may
+// have won the seat meanwhile.
+func TestHoldersOrder(t *testing.T) {
+	is := is.New(t)
+	var h holders
+	seat := ledger.Seat{Service: "reparto", Members: []string{"a", "b", "c"}}
+	is.Equal(h.order(seat), []string{"a", "b", "c"})
+	h.found(seat, "c")
+	is.Equal(h.order(seat), []string{"c", "a", "b"})
+	h.silent(seat, "c")
+	is.Equal(h.order(seat), []string{"a", "b", "c"})
+	h.found(seat, "gone")
+	is.Equal(h.order(seat), []string{"a", "b", "c"}) // no member any more
+}
