--- a/chaos/run.sh
+++ b/chaos/run.sh
@@ -12,7 +12,7 @@
 output=json
 . "$here/../demo/fleet.sh"
 trap stop_all EXIT
-all=(none kill freeze stall flap truncate cross log_outage lost_answers racing_operators rolling kill_in_outage)
+all=(none kill freeze stall slow fail flap truncate cross log_slow log_outage lost_answers racing_operators rolling kill_in_outage)
 [ $# -gt 0 ] && all=("$@")
 failed=0
 
@@ -20,6 +20,9 @@
 kill_fault() { kill -KILL "${node_pids[5]}" "${target_pids[54]}" "${target_pids[55]}"; }
 freeze_fault() { kill -STOP "${node_pids[5]}"; sleep 6; kill -CONT "${node_pids[5]}"; }
 stall_fault() { fault "$(target_of 1 4)" '{"stall":true}'; }
+slow_fault() { fault "$(target_of 1 4)" '{"slow_factor":10}'; }
+fail_fault() { fault "$(target_of 1 4)" '{"fail_share":0.5}'; }
+log_slow_fault() { fault "$(log_address)" '{"delay_ms":1500}'; kill_fault; }
 flap_fault() { fault "$(target_of 1 4)" '{"stall":true,"flap_sick_ms":2000,"flap_well_ms":2000}'; }
 truncate_fault() { fault "$(target_of 1 4)" '{"truncate":true}'; }
 cross_fault() { fault "$(target_of 1 4)" '{"cross":true}'; }
