--- a/demo/run.sh
+++ b/demo/run.sh
@@ -22,7 +22,9 @@
 fault "$(log_address)" '{"outage":true}'
 sleep 1
 echo "killing node 5 and its targets"
-kill -KILL "${node_pids[5]}" "${target_pids[54]}" "${target_pids[55]}"
+killed=("${node_pids[5]}" "${target_pids[54]}" "${target_pids[55]}")
+kill -KILL "${killed[@]}"
+{ wait "${killed[@]}" || true; } 2>/dev/null # keeps the shell from reporting them
 sleep 5
 echo "the log comes back"
 fault "$(log_address)" '{}'
