--- a/process/home/keeper_test.go
+++ b/process/home/keeper_test.go
@@ -26,6 +26,7 @@
 	stopped map[string]bool
 	nodes   map[string]*seatNode
 	running sync.WaitGroup
+	cancel  context.CancelFunc
 }
 
 type seatNode struct {
@@ -41,8 +42,12 @@
 
 var errDown = errors.New("down")
 
-func newSeatFleet() *seatFleet {
+// newSeatFleet returns a fleet without nodes and the context that its nodes run
+// under until stop.
+func newSeatFleet(t *testing.T) (*seatFleet, context.Context) {
+	ctx, cancel := context.WithCancel(t.Context())
 	f := &seatFleet{
+		cancel:  cancel,
 		journal: ledger.NewJournal(),
 		stopped: map[string]bool{},
 		nodes:   map[string]*seatNode{},
@@ -54,7 +59,13 @@
 			Routes: []configuration.Route{{PathPrefix: "/reparto", NeverRepeat: true}},
 		}}},
 	}))
-	return f
+	return f, ctx
+}
+
+// stop ends all nodes and waits for them, as a synctest bubble requires.
+func (f *seatFleet) stop() {
+	f.cancel()
+	f.running.Wait()
 }
 
 func mustEncode(r ledger.Record) []byte {
@@ -215,14 +226,12 @@
 		t.Run(fmt.Sprintf("%d nodes %s apart", test.count, test.apart), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newSeatFleet()
+				f, ctx := newSeatFleet(t)
+				defer f.stop()
 				f.start(ctx, test.count, test.apart)
 				time.Sleep(60 * time.Second)
 				is.Equal(len(f.holders(0)), 1)
 				is.Equal(len(f.holders(1)), 1)
-				cancel()
-				f.running.Wait()
 			})
 		})
 	}
@@ -234,8 +243,8 @@
 		t.Run(fmt.Sprintf("log down %t", logDown), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newSeatFleet()
+				f, ctx := newSeatFleet(t)
+				defer f.stop()
 				f.start(ctx, 6, 0)
 				time.Sleep(30 * time.Second)
 				f.mu.Lock()
@@ -247,8 +256,6 @@
 				is.Equal(len(f.holders(0)), 1) // another member holds the seat
 				s, _ := f.journal.State().Seat("reparto", 0)
 				is.Equal(s.Epoch > 1, !logDown) // members change only with the log
-				cancel()
-				f.running.Wait()
 			})
 		})
 	}
@@ -259,8 +266,8 @@
 func TestKeeperReplacesMember(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newSeatFleet()
+		f, ctx := newSeatFleet(t)
+		defer f.stop()
 		f.start(ctx, 6, 0)
 		time.Sleep(30 * time.Second)
 		before, _ := f.journal.State().Seat("reparto", 0)
@@ -274,8 +281,6 @@
 			is.True(m != dead)
 		}
 		is.Equal(len(f.holders(0)), 1)
-		cancel()
-		f.running.Wait()
 	})
 }
 
@@ -283,8 +288,8 @@
 func TestKeeperResolvesSplitGrants(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newSeatFleet()
+		f, ctx := newSeatFleet(t)
+		defer f.stop()
 		seat := ledger.Seat{Service: "reparto", Epoch: 1, Members: []string{"n0", "n1"}}
 		f.Append(ctx, mustEncode(ledger.Record{ID: "2", Kind: ledger.KindSeat, Author: "n0", Seat: &seat}))
 		f.start(ctx, 2, 0)
@@ -294,8 +299,6 @@
 		}
 		time.Sleep(30 * time.Second)
 		is.Equal(len(f.holders(0)), 1)
-		cancel()
-		f.running.Wait()
 	})
 }
 
@@ -303,8 +306,8 @@
 func TestKeeperHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newSeatFleet()
+		f, ctx := newSeatFleet(t)
+		defer f.stop()
 		f.start(ctx, 6, 0)
 		time.Sleep(30 * time.Second)
 		first := f.holders(0)[0]
@@ -313,8 +316,6 @@
 		next := f.holders(0)
 		is.Equal(len(next), 1)
 		is.True(next[0] != first)
-		cancel()
-		f.running.Wait()
 	})
 }
 
@@ -323,8 +324,8 @@
 func TestKeeperReplacesMemberAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		f := newSeatFleet()
+		f, ctx := newSeatFleet(t)
+		defer f.stop()
 		f.start(ctx, 6, 0)
 		time.Sleep(30 * time.Second)
 		before, _ := f.journal.State().Seat("reparto", 0)
@@ -346,7 +347,5 @@
 		after, _ := f.journal.State().Seat("reparto", 0)
 		is.Equal(after.Epoch, before.Epoch+1)
 		is.Equal(len(f.holders(1)), 1) // the other seat is served meanwhile
-		cancel()
-		f.running.Wait()
 	})
 }
