gate: the detection setting in force reaches targets that were there before it

Found in review: a pool took its dial when it was made, so that targets which announced themselves before the configuration came stayed on the balanced dial.

--- a/process/gate/health.go
+++ b/process/gate/health.go
@@ -52,6 +52,9 @@
 // target that has become sick.
 func (g *Gate) watch(ctx context.Context, bids *sync.WaitGroup) {
 	for _, p := range g.allPools() {
+		if rules, ok := g.services.Service(p.service); ok {
+			p.setDial(judgement.DialFor(rules.Detection))
+		}
 		for _, t := range p.due(g.clock()) {
 			bids.Add(1)
 			go func() {
@@ -62,6 +65,20 @@
 	}
 }
 
+// setDial puts the service's detection setting in force, which may have been
+// published after the targets announced themselves.
+func (p *Pool) setDial(d judgement.Dial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dial == d {
+		return
+	}
+	p.dial = d
+	for _, t := range p.targets {
+		t.judge.SetDial(d)
+	}
+}
+
 // due returns the targets that need a bid now and marks them as bidding.
 func (p *Pool) due(now time.Time) []*target {
 	p.mu.Lock()
--- a/process/gate/pool_test.go
+++ b/process/gate/pool_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/floor"
+	"github.com/cuminwheel/cuminwheel/process/judgement"
 	"github.com/cuminwheel/cuminwheel/process/roster"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -239,3 +241,41 @@
 		})
 	}
 }
+
+// lateRules are published after the targets announced themselves.
+type lateRules struct {
+	published atomic.Bool
+	rules
+}
+
+func (l *lateRules) Service(name string) (configuration.Service, bool) {
+	if !l.published.Load() {
+		return configuration.Service{}, false
+	}
+	return l.rules.Service(name)
+}
+
+// A detection setting is in force for targets that were there before it.
+func TestDialFollowsConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &lateRules{rules: rules{Name: "reparto", Detection: configuration.DetectFast}}
+		g := New(Options{
+			Clock: time.Now, Logger: hclog.NewNullLogger(), Services: l,
+			Siblings: fakeSiblings(nil), OnChange: func([]roster.Target) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); g.Run(ctx) }()
+		announce(t, g, 1, 3)
+		l.published.Store(true)
+		time.Sleep(time.Second)
+		p := g.pool("reparto")
+		p.mu.Lock()
+		inForce := p.dial
+		p.mu.Unlock()
+		cancel()
+		<-done
+		is.Equal(inForce, judgement.DialFor(configuration.DetectFast))
+	})
+}
--- a/process/judgement/judge.go
+++ b/process/judgement/judge.go
@@ -93,6 +93,9 @@
 	return &Judge{dial: d, limit: firstLimit, usual: firstLimit}
 }
 
+// SetDial puts another dial in force; evidence and history stay.
+func (j *Judge) SetDial(d Dial) { j.dial = d }
+
 // Began records that the target was given a request.
 func (j *Judge) Began(now time.Time) Work {
 	j.nextID++
