--- a/cmd/cuminwheel/flags.go
+++ b/cmd/cuminwheel/flags.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"strings"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,9 +27,10 @@
 	}
 }
 
-func newLogger(c *cli.Command) hclog.Logger {
+func newLogger(c *cli.Command, w io.Writer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "cuminwheel",
+		Output:     w,
 		Level:      hclog.LevelFromString(c.String("log-level")),
 		JSONFormat: c.Bool("log-json"),
 	})
--- a/cmd/cuminwheel/main.go
+++ b/cmd/cuminwheel/main.go
@@ -63,10 +63,6 @@
 		},
 		Commands: []*cli.Command{
 			nodeCommand(),
-			publishCommand(),
-			checkCommand(),
-			statusCommand(),
-			standinCommand(),
 			experimentCommand(),
 		},
 	}
--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -2,22 +2,28 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/platform"
+	"github.com/cuminwheel/cuminwheel/process/gate"
+	"github.com/cuminwheel/cuminwheel/process/logline"
 	"github.com/cuminwheel/cuminwheel/process/node"
 	"github.com/cuminwheel/cuminwheel/process/settings"
+	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 )
 
 func nodeCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "node",
-		Usage:  "run the node that stands beside the targets of a VM",
-		Flags:  append(nodeFlags(), logFlags()...),
-		Action: runNode,
+		Name:        "node",
+		Usage:       "run the node that stands beside the target of a VM",
+		Description: "Settings come from the platform's settings file if " + platform.SettingsVariable + " names one, and else from the flags.",
+		Flags:       append(nodeFlags(), logFlags()...),
+		Action:      runNode,
 	}
 }
 
@@ -26,45 +32,89 @@
 		textFlag("entry", "127.0.0.1:7000", "address for callers, IP:port"),
 		textFlag("gate", "127.0.0.1:7001", "address for requests of other nodes, IP:port"),
 		textFlag("control", "127.0.0.1:7002", "address for control calls of other nodes, IP:port"),
-		textFlag("admin", "127.0.0.1:7003", "address for targets beside the node and for operators, IP:port"),
+		textFlag("admin", "127.0.0.1:7003", "address for the target beside the node, IP:port"),
+		textFlag("ready", "127.0.0.1:7004", "address for questions whether the node takes callers, IP:port"),
+		textFlag("metrics", "127.0.0.1:7005", "address for metrics and status, IP:port"),
 		textFlag("region", "", "region of the VM"),
 		textFlag("data-centre", "", "data centre of the VM"),
-		textFlag("log", "127.0.0.1:7100", "address of the platform's log service, IP:port"),
-		textFlag("stream", "cuminwheel", "name of the fleet's stream in the log"),
-		&cli.StringSliceFlag{Name: "peer", Usage: "control address of a node to start from; may be repeated", Sources: env("peer")},
-		&cli.DurationFlag{Name: "clock-bound", Value: 500 * time.Millisecond, Usage: "how far any two clocks may be apart", Sources: env("clock-bound")},
-		&cli.DurationFlag{Name: "drain-timeout", Value: 2 * time.Minute, Usage: "how long a leaving node waits for requests in progress", Sources: env("drain-timeout")},
-		&cli.IntFlag{Name: "remote-bytes", Usage: "budget on links between regions in bytes a second; 0 sets no bound", Sources: env("remote-bytes")},
+		textFlag("service", "", "service of the target beside the node"),
+		textFlag("target", "127.0.0.1:7006", "address of the target beside the node, IP:port"),
+		textFlag("store", "127.0.0.1:7100", "address of the platform's store, IP:port"),
+		&cli.DurationFlag{Name: "grace", Value: settings.DefaultGrace, Usage: "how long a leaving node may take", Sources: env("grace")},
+		&cli.FloatFlag{Name: "retry-ratio", Value: settings.DefaultRetryRatio, Usage: "repeated sends for each request, over the fleet", Sources: env("retry-ratio")},
+		&cli.FloatFlag{Name: "retry-slack", Value: settings.DefaultRetrySlack, Usage: "repeated sends besides, over the fleet", Sources: env("retry-slack")},
 	}
 }
 
-func runNode(ctx context.Context, c *cli.Command) error {
+func readSettings(c *cli.Command) (settings.Settings, error) {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return platform.ReadSettings(path)
+	}
 	s := settings.Settings{
-		Entry:                c.String("entry"),
-		Gate:                 c.String("gate"),
-		Control:              c.String("control"),
-		Admin:                c.String("admin"),
-		Region:               c.String("region"),
-		DataCentre:           c.String("data-centre"),
-		Log:                  c.String("log"),
-		Stream:               c.String("stream"),
-		Peers:                c.StringSlice("peer"),
-		ClockBound:           c.Duration("clock-bound"),
-		DrainTimeout:         c.Duration("drain-timeout"),
-		RemoteBytesPerSecond: c.Int("remote-bytes"),
+		Name: c.String("control"), Entry: c.String("entry"), Gate: c.String("gate"), Control: c.String("control"),
+		Admin: c.String("admin"), Ready: c.String("ready"), Metrics: c.String("metrics"),
+		Region: c.String("region"), DataCentre: c.String("data-centre"),
+		Service: c.String("service"), Target: c.String("target"), Store: c.String("store"),
+		Grace: c.Duration("grace"), RetryRatio: c.Float("retry-ratio"), RetrySlack: c.Float("retry-slack"),
 	}
-	if err := s.Check(); err != nil {
+	return s, s.Check()
+}
+
+func runNode(ctx context.Context, c *cli.Command) error {
+	s, err := readSettings(c)
+	if err != nil {
 		return usageError(err)
 	}
-	_, stop, err := node.Start(s, newLogger(c))
+	lines, flush := logline.New(os.Stdout)
+	defer flush()
+	logger := newLogger(c, lines)
+	store, closeStore := platform.NewStore(s.Store)
+	defer closeStore()
+	_, leave, err := node.Start(s, node.Surroundings{
+		Headers:        platform.Headers{},
+		Decode:         platform.DecodeConfiguration,
+		Configurations: platform.NewConfigurations(store),
+		Meeting:        platform.NewMeeting(store),
+		Announcements: func(g *gate.Gate, l hclog.Logger) http.Handler {
+			return platform.AnnouncementHandler(g, l)
+		},
+		ReadyPath:        platform.ReadyPath,
+		AnnouncementPath: platform.AnnouncementPath,
+	}, logger)
 	if err != nil {
+		logger.Error("node did not start", "reason", err)
 		return err
 	}
-	<-ctx.Done()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	for {
+		select {
+		case <-reloads:
+			reload(c, s, logger)
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
 	// A second signal ends the node at once.
 	limit, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	limit, cancelTimeout := context.WithTimeout(limit, s.DrainTimeout)
+	limit, cancelTimeout := context.WithDeadline(limit, time.Now().Add(s.Grace))
 	defer cancelTimeout()
-	return stop(limit)
+	leave(limit)
+	return nil
+}
+
+// reload reads the settings again and tells what changed.
+func reload(c *cli.Command, before settings.Settings, logger hclog.Logger) {
+	after, err := readSettings(c)
+	switch {
+	case err != nil:
+		logger.Error("settings cannot be read; those in force stay", "reason", err)
+	case after != before:
+		logger.Warn("settings changed; they are in force after a restart", "before", before, "after", after)
+	default:
+		logger.Info("settings read again; nothing changed")
+	}
 }
--- /dev/null
+++ b/connection/hop/hop.go
@@ -0,0 +1,166 @@
+// Package hop is what an entry and a gate say to each other beside the request
+// and the answer that they pass on. Both travel as HTTP/1.1 messages; one field
+// of the header holds what the nodes add.
+//
+// Every request awaits the gate's grant: the gate asks for the body, by a 100
+// response, when the request has its slot. Until then it has not run and will
+// not unless the entry goes on, so that an entry may leave a gate that is silent
+// and ask another.
+package hop
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/go-faster/errors"
+)
+
+// field is the header field that holds an Ask or a Reply. It is short, since
+// bytes between regions are paid for.
+const field = "Cw"
+
+// ErrMalformed means that a peer's field cannot be read.
+var ErrMalformed = errors.New("the other node's header field cannot be read")
+
+// Ask is what an entry says of a request.
+type Ask struct {
+	// Service is the service that is to run the request; another one refuses.
+	Service string
+	// CallerService is the service on whose VM the request began.
+	CallerService string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Priority ranks waiting requests; 0 is the most urgent.
+	Priority int
+	// Repeat means that a target has been sent the request before.
+	Repeat bool
+	// MayFail means that the entry has time and attempts left to send the
+	// request to another target, so that it can try out a suspected one.
+	MayFail bool
+	// Deadline is when the request must have its answer.
+	Deadline time.Time
+	// WaitUntil is when the request must have its slot.
+	WaitUntil time.Time
+}
+
+// Set writes the ask into a header. Times travel as what is left of them, since
+// clocks differ.
+func (a Ask) Set(h http.Header, now time.Time) {
+	var b strings.Builder
+	b.WriteString("s=" + a.Service + ";c=" + a.CallerService)
+	b.WriteString(";d=" + millis(a.Deadline.Sub(now)) + ";w=" + millis(a.WaitUntil.Sub(now)))
+	if a.Priority != 0 {
+		b.WriteString(";p=" + strconv.Itoa(a.Priority))
+	}
+	for _, f := range []struct {
+		name string
+		set  bool
+	}{{"i", a.Idempotent}, {"r", a.Repeat}, {"f", a.MayFail}} {
+		if f.set {
+			b.WriteString(";" + f.name + "=1")
+		}
+	}
+	h[field] = []string{b.String()}
+}
+
+// TakeAsk reads the ask of a request that arrived at the given time and removes
+// it from the header.
+func TakeAsk(h http.Header, arrived time.Time) (Ask, error) {
+	f := fields(h)
+	left, err1 := strconv.ParseInt(f["d"], 10, 64)
+	wait, err2 := strconv.ParseInt(f["w"], 10, 64)
+	if f["s"] == "" || err1 != nil || err2 != nil {
+		return Ask{}, ErrMalformed
+	}
+	priority, _ := strconv.Atoi(f["p"]) // absent means 0
+	return Ask{
+		Service: f["s"], CallerService: f["c"], Priority: priority,
+		Idempotent: f["i"] != "", Repeat: f["r"] != "", MayFail: f["f"] != "",
+		Deadline:  arrived.Add(time.Duration(left) * time.Millisecond),
+		WaitUntil: arrived.Add(time.Duration(wait) * time.Millisecond),
+	}, nil
+}
+
+// State is what a gate says of itself with every answer.
+type State struct {
+	// Open means that the gate's target takes new work.
+	Open bool
+	// Suspect means that the target has failed lately and takes only work that
+	// may fail.
+	Suspect bool
+	// Busy and Slots are the requests that the target has, waiting ones
+	// included, and how many it runs at once.
+	Busy  int
+	Slots int
+}
+
+// Reply is what a gate says with an answer.
+type Reply struct {
+	State State
+	// Problem is nil for a target's answer.
+	Problem *outcome.Problem
+}
+
+// Set writes the reply into an answer's header.
+func (r Reply) Set(h http.Header, now time.Time) {
+	var b strings.Builder
+	b.WriteString("b=" + strconv.Itoa(r.State.Busy) + ";n=" + strconv.Itoa(r.State.Slots))
+	if r.State.Open {
+		b.WriteString(";o=1")
+	}
+	if r.State.Suspect {
+		b.WriteString(";q=1")
+	}
+	if p := r.Problem; p != nil {
+		b.WriteString(";x=" + string(p.Code))
+		if p.Outcome == outcome.Unknown {
+			b.WriteString(";u=1")
+		}
+		if !p.RetryAt.IsZero() {
+			b.WriteString(";t=" + millis(p.RetryAt.Sub(now)))
+		}
+	}
+	h[field] = []string{b.String()}
+}
+
+// TakeReply reads the reply and removes it from the header.
+func TakeReply(h http.Header, now time.Time) (Reply, error) {
+	f := fields(h)
+	busy, err1 := strconv.Atoi(f["b"])
+	slots, err2 := strconv.Atoi(f["n"])
+	if err1 != nil || err2 != nil {
+		return Reply{}, ErrMalformed
+	}
+	r := Reply{State: State{Open: f["o"] != "", Suspect: f["q"] != "", Busy: busy, Slots: slots}}
+	code := outcome.Code(f["x"])
+	switch {
+	case code == "":
+		return r, nil
+	case f["u"] != "":
+		r.Problem = outcome.Failed(code, "the gate reported it")
+	default:
+		r.Problem = outcome.Refused(code, "the gate reported it")
+	}
+	if ms, err := strconv.ParseInt(f["t"], 10, 64); err == nil {
+		r.Problem = r.Problem.WithRetryAt(now.Add(time.Duration(ms) * time.Millisecond))
+	}
+	return r, nil
+}
+
+func fields(h http.Header) map[string]string {
+	out := map[string]string{}
+	for _, part := range strings.Split(h.Get(field), ";") {
+		name, value, _ := strings.Cut(part, "=")
+		out[name] = value
+	}
+	delete(h, field)
+	return out
+}
+
+// Strip removes what only nodes may say from a caller's or target's header.
+func Strip(h http.Header) { delete(h, field) }
+
+func millis(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
--- /dev/null
+++ b/connection/message/answer.go
@@ -0,0 +1,49 @@
+package message
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+)
+
+// Answer is a whole response.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Abort ends the connection in place of an answer.
+	Abort bool
+}
+
+// bodiless reports whether a response to the method has no body on the wire.
+func bodiless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// write sends the answer with a length.
+func (a *Answer) write(w *bufio.Writer, method string, closes bool) error {
+	writeStatusLine(w, a.Status)
+	writeHeader(w, a.Header)
+	switch {
+	case !bodiless(method, a.Status):
+		writeField(w, "Content-Length", strconv.Itoa(len(a.Body)))
+	case method == http.MethodHead && a.Header.Get("Content-Length") != "":
+		writeField(w, "Content-Length", a.Header.Get("Content-Length"))
+	}
+	if closes {
+		writeField(w, "Connection", "close")
+	}
+	w.WriteString("\r\n")
+	if !bodiless(method, a.Status) {
+		w.Write(a.Body)
+	}
+	return w.Flush()
+}
+
+func writeStatusLine(w *bufio.Writer, status int) {
+	text := http.StatusText(status)
+	if text == "" {
+		text = "status " + strconv.Itoa(status)
+	}
+	w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\n")
+}
--- /dev/null
+++ b/connection/message/header.go
@@ -0,0 +1,61 @@
+package message
+
+import (
+	"bufio"
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// connectionFields concern one connection only and are never passed on.
+var connectionFields = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+}
+
+// EndToEnd returns the fields that are passed on, without those that the
+// Connection field names. The values are shared with h.
+func EndToEnd(h http.Header) http.Header {
+	named := map[string]bool{}
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !connectionFields[name] && !named[name] {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// writeHeader writes all fields but those that frame the message.
+func writeHeader(w *bufio.Writer, h http.Header) {
+	for name, values := range h {
+		if name == "Content-Length" || connectionFields[name] {
+			continue
+		}
+		for _, v := range values {
+			writeField(w, name, v)
+		}
+	}
+}
+
+var fieldCleaner = strings.NewReplacer("\r", " ", "\n", " ")
+
+func writeField(w *bufio.Writer, name, value string) {
+	w.WriteString(name)
+	w.WriteString(": ")
+	fieldCleaner.WriteString(w, value)
+	w.WriteString("\r\n")
+}
--- /dev/null
+++ b/connection/message/listener.go
@@ -0,0 +1,477 @@
+package message
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Bounds of a connection that callers open.
+const (
+	// maxPipelined is how many requests of one connection are served at once;
+	// more stay unread until the first is answered.
+	maxPipelined = 16
+	// bufferBytes is the size of a connection's read and write buffers; most
+	// heads fit.
+	bufferBytes = 4096
+	// writeTimeout closes a connection whose peer takes nothing for so long.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout is how long a connection that was closed for writing is
+	// read on, so that the last answer is not lost to a reset.
+	lingerTimeout = time.Second
+	// bodyTimeout closes a connection whose peer sends no more of a body.
+	bodyTimeout = 10 * time.Second
+)
+
+// Errors of reading a request.
+var (
+	errHeadTooLarge = errors.New("the request's head is too large")
+	errBodyTooLarge = errors.New("the request's body is too large")
+	// ErrCallerGone means that the caller closed its connection.
+	ErrCallerGone = errors.New("the caller closed the connection")
+	errAborted    = errors.New("the answer was aborted")
+)
+
+// Limits bound what a caller may send. They are read anew for each request.
+type Limits struct {
+	HeadBytes   int
+	BodyBytes   int64
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+// Incoming is a request that a caller sent.
+type Incoming struct {
+	Method  string
+	URI     string
+	Host    string
+	Path    string
+	Header  http.Header
+	Arrived time.Time
+	body    chan bodyResult
+	grant   func() error
+}
+
+type bodyResult struct {
+	bytes []byte
+	err   error
+}
+
+// Body returns the request's body. A caller that waits for a 100 response gets
+// it now.
+func (in *Incoming) Body(ctx context.Context) ([]byte, error) {
+	if in.grant != nil {
+		if err := in.grant(); err != nil {
+			return nil, errors.Wrap(ErrCallerGone, err.Error())
+		}
+	}
+	select {
+	case b := <-in.body:
+		return b.bytes, b.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// Handler answers a request. ctx ends with the caller's connection.
+type Handler func(ctx context.Context, in *Incoming) *Answer
+
+// Listener serves the connections of one address.
+type Listener struct {
+	listener net.Listener
+	handler  Handler
+	limits   func() Limits
+	logger   hclog.Logger
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[*serverConn]bool
+	done     sync.WaitGroup
+}
+
+// Listen serves the address until the returned function is called, which closes
+// all connections.
+func Listen(address string, handler Handler, limits func() Limits, logger hclog.Logger) (*Listener, func(), error) {
+	nl, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	l := &Listener{listener: nl, handler: handler, limits: limits, logger: logger, conns: map[*serverConn]bool{}}
+	l.done.Add(1)
+	go l.accept()
+	return l, l.close, nil
+}
+
+// Address returns the address that is listened on.
+func (l *Listener) Address() string { return l.listener.Addr().String() }
+
+func (l *Listener) accept() {
+	defer l.done.Done()
+	for {
+		conn, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.logger.Warn("accepting a connection failed", "reason", err)
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		c := &serverConn{listener: l, conn: conn, answers: make(chan *pending, maxPipelined)}
+		l.mu.Lock()
+		l.conns[c] = true
+		l.mu.Unlock()
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			c.serve()
+			l.mu.Lock()
+			delete(l.conns, c)
+			l.mu.Unlock()
+		}()
+	}
+}
+
+// Drain makes each connection close with its next answer.
+func (l *Listener) Drain() { l.draining.Store(true) }
+
+// Busy returns how many requests have been read and not answered.
+func (l *Listener) Busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		n += c.openCount()
+	}
+	return n
+}
+
+// CloseIdle closes the connections that carry no request.
+func (l *Listener) CloseIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.openCount() == 0 {
+			c.conn.Close()
+		}
+	}
+}
+
+func (l *Listener) close() {
+	l.listener.Close()
+	l.mu.Lock()
+	for c := range l.conns {
+		c.conn.Close()
+	}
+	l.mu.Unlock()
+	l.done.Wait()
+}
+
+// serverConn is a caller's connection. One goroutine reads requests, one writes
+// answers in their order, and each request has one.
+type serverConn struct {
+	listener *Listener
+	conn     net.Conn
+	answers  chan *pending
+	writeMu  sync.Mutex
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// open counts the requests that were read and are not answered.
+	open int
+	// closing means that no further request is taken from the connection.
+	closing bool
+}
+
+// take counts a request that was read, unless the connection is closing.
+func (c *serverConn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.open++
+	return true
+}
+
+// closeAfter decides whether the connection closes with the next answer. A
+// draining listener closes it once no other request has been read from it.
+func (c *serverConn) closeAfter(p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || p.closes || c.listener.draining.Load() && c.open == 1
+	return c.closing && (c.open == 1 || p.closes)
+}
+
+// answered counts an answer and bounds the wait for the next request.
+func (c *serverConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+	c.boundIdle()
+}
+
+// boundIdle sets the deadline of reading the next request; mu is held.
+func (c *serverConn) boundIdle() {
+	var deadline time.Time
+	if c.open == 0 {
+		deadline = time.Now().Add(c.listener.limits().IdleTimeout)
+	}
+	c.conn.SetReadDeadline(deadline)
+}
+
+func (c *serverConn) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// pending is a request that was read and is not answered.
+type pending struct {
+	method string
+	closes bool
+	done   chan *Answer
+}
+
+func (c *serverConn) serve() {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer c.conn.Close()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.writeAnswers()
+	}()
+	err := c.readRequests(ctx)
+	cancel(errors.Wrap(ErrCallerGone, err.Error()))
+	close(c.answers)
+	<-written
+}
+
+// capped fails a read beyond a head's limit.
+type capped struct {
+	reader io.Reader
+	left   int
+}
+
+func (r *capped) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.reader.Read(p)
+	r.left -= n
+	return n, err
+}
+
+const unlimited = 1 << 62
+
+// readRequests reads until the connection ends and returns why it did.
+func (c *serverConn) readRequests(ctx context.Context) error {
+	head := &capped{reader: c.conn, left: unlimited}
+	br := bufio.NewReaderSize(head, bufferBytes)
+	for {
+		limits := c.listener.limits()
+		c.mu.Lock()
+		c.boundIdle()
+		c.mu.Unlock()
+		if _, err := br.Peek(1); err != nil {
+			if isTimeout(err) && c.openCount() > 0 {
+				continue
+			}
+			return err
+		}
+		c.conn.SetReadDeadline(time.Now().Add(limits.HeadTimeout))
+		head.left = limits.HeadBytes + bufferBytes
+		hr, err := http.ReadRequest(br)
+		if err != nil {
+			c.refuse(err)
+			return err
+		}
+		head.left = unlimited
+		p := &pending{method: hr.Method, closes: hr.Close, done: make(chan *Answer, 1)}
+		if !c.take() {
+			return c.waitForEnd(br)
+		}
+		select {
+		case c.answers <- p:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := c.handle(ctx, hr, br, p, limits); err != nil {
+			return err
+		}
+		if p.closes {
+			return c.waitForEnd(br)
+		}
+	}
+}
+
+// handle starts the handler and reads the request's body.
+func (c *serverConn) handle(ctx context.Context, hr *http.Request, br *bufio.Reader, p *pending, limits Limits) error {
+	in := &Incoming{
+		Method: hr.Method, URI: hr.RequestURI, Host: hr.Host, Path: hr.URL.EscapedPath(),
+		Header: hr.Header, Arrived: time.Now(), body: make(chan bodyResult, 1),
+	}
+	expects := hr.Header.Get("Expect") != "" && hr.Body != http.NoBody
+	if expects {
+		var granted atomic.Bool
+		in.grant = sync.OnceValue(func() error { granted.Store(true); return c.grant() })
+		c.start(ctx, in, p)
+		// The peer sends nothing before the 100 response, so that a read that
+		// ends tells that it is gone.
+		c.conn.SetReadDeadline(time.Time{})
+		if _, err := br.Peek(1); err != nil {
+			in.body <- bodyResult{err: errors.Wrap(ErrCallerGone, err.Error())}
+			return err
+		}
+		if !granted.Load() {
+			// The request was refused before its body was asked for; what
+			// follows is the next request.
+			return nil
+		}
+	}
+	if hr.Body != http.NoBody {
+		c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
+	body, err := readBody(hr, limits.BodyBytes)
+	in.body <- bodyResult{bytes: body, err: err}
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		p.closes = true
+		if !expects {
+			p.done <- Plain(http.StatusRequestEntityTooLarge, err.Error())
+			return err
+		}
+		return err
+	case err != nil:
+		if !expects {
+			p.done <- &Answer{Abort: true}
+		}
+		return err
+	}
+	if !expects {
+		c.start(ctx, in, p)
+	}
+	return nil
+}
+
+func (c *serverConn) start(ctx context.Context, in *Incoming, p *pending) {
+	go func() { p.done <- c.listener.handler(ctx, in) }()
+}
+
+func readBody(hr *http.Request, most int64) ([]byte, error) {
+	if hr.Body == http.NoBody {
+		return nil, nil
+	}
+	if hr.ContentLength > most {
+		return nil, errBodyTooLarge
+	}
+	var b bytes.Buffer
+	if hr.ContentLength > 0 {
+		b.Grow(int(min(hr.ContentLength, 1<<20)))
+	}
+	n, err := io.Copy(&b, io.LimitReader(hr.Body, most+1))
+	if err == nil && n > most {
+		err = errBodyTooLarge
+	}
+	return b.Bytes(), err
+}
+
+// grant sends the 100 response.
+func (c *serverConn) grant() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// refuse answers a head that could not be read, if anything of it came.
+func (c *serverConn) refuse(err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return
+	}
+	var op *net.OpError
+	if status == http.StatusBadRequest && errors.As(err, &op) {
+		return
+	}
+	p := &pending{method: http.MethodGet, closes: true, done: make(chan *Answer, 1)}
+	p.done <- Plain(status, err.Error())
+	if c.take() {
+		c.answers <- p
+	}
+}
+
+// waitForEnd blocks until the caller closes the connection or it is closed
+// after the last answer.
+func (c *serverConn) waitForEnd(br *bufio.Reader) error {
+	c.conn.SetReadDeadline(time.Time{})
+	for {
+		if _, err := br.ReadByte(); err != nil {
+			return err
+		}
+	}
+}
+
+// writeAnswers writes the answers in the order of the requests. After a failed
+// write it only collects them.
+func (c *serverConn) writeAnswers() {
+	bw := bufio.NewWriterSize(c.conn, bufferBytes)
+	broken := false
+	for p := range c.answers {
+		a := <-p.done
+		closes := c.closeAfter(p)
+		if !broken {
+			err := errAborted
+			if !a.Abort {
+				err = c.writeAnswer(bw, a, p, closes)
+			}
+			broken = err != nil
+			if broken {
+				c.conn.Close()
+			} else if closes {
+				c.linger()
+			}
+		}
+		c.answered()
+	}
+}
+
+// linger ends the connection's writing side and leaves the rest to the reader:
+// closing with unread bytes would reset the connection and with it the answer.
+func (c *serverConn) linger() {
+	if tc, ok := c.conn.(*net.TCPConn); ok {
+		tc.CloseWrite()
+	}
+	time.AfterFunc(lingerTimeout, func() { c.conn.Close() })
+}
+
+func (c *serverConn) writeAnswer(bw *bufio.Writer, a *Answer, p *pending, closes bool) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return a.write(bw, p.method, closes)
+}
+
+// Plain returns an answer of the node's own with a line of text.
+func Plain(status int, text string) *Answer {
+	return &Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(text + "\n")}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/connection/message/request.go
@@ -0,0 +1,48 @@
+package message
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+)
+
+// Request is a request as it is sent to a peer.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is compared with the answer's.
+	ID string
+	// AwaitsGrant holds the body back until the peer sends a 100 response. A
+	// request without a body is sent with an empty chunked one, so that the
+	// peer always has the end of the body to wait for.
+	AwaitsGrant bool
+}
+
+func (r *Request) writeHead(w *bufio.Writer) error {
+	w.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\n")
+	writeField(w, "Host", r.Host)
+	writeHeader(w, r.Header)
+	switch {
+	case r.AwaitsGrant && len(r.Body) == 0:
+		writeField(w, "Transfer-Encoding", "chunked")
+	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		writeField(w, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	if r.AwaitsGrant {
+		writeField(w, "Expect", "100-continue")
+	}
+	w.WriteString("\r\n")
+	return w.Flush()
+}
+
+func (r *Request) writeBody(w *bufio.Writer) error {
+	if r.AwaitsGrant && len(r.Body) == 0 {
+		w.WriteString("0\r\n\r\n")
+	} else {
+		w.Write(r.Body)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/process/entry/candidate.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
+)
+
+// tier says how far away a gate is.
+type tier int
+
+// The tiers. Bytes between data centres cost something, between regions much.
+const (
+	tierDataCentre tier = iota
+	tierRegion
+	tierRemote
+)
+
+func (t tier) String() string { return [...]string{"data_centre", "region", "remote"}[t] }
+
+const (
+	// stateTrust is how long a gate's word on itself is believed. Sick targets
+	// stay so for seconds, and gates begin trials every second at most.
+	stateTrust = time.Second
+	// firstDown and lastDown bound how long a gate is left alone that could not
+	// be reached.
+	firstDown = 500 * time.Millisecond
+	lastDown  = 4 * time.Second
+)
+
+// candidate is a gate as an entry sees it. It is safe for concurrent use.
+type candidate struct {
+	node    string
+	address string
+	tier    tier
+	pool    *message.Pool
+	close   func()
+
+	mu        sync.Mutex
+	state     hop.State
+	heardAt   time.Time
+	asking    int
+	downUntil time.Time
+	downFor   time.Duration
+}
+
+// view is what is believed of a candidate at one moment.
+type view struct {
+	tier    tier
+	down    bool
+	closed  bool
+	suspect bool
+	// load is the share of the slots that is taken; above 1 requests wait.
+	load float64
+	// heardAgo is the age of the belief.
+	heardAgo time.Duration
+}
+
+func (c *candidate) view(now time.Time) view {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := view{tier: c.tier, down: now.Before(c.downUntil), heardAgo: now.Sub(c.heardAt)}
+	busy, slots := c.asking, 1
+	if v.heardAgo < stateTrust {
+		v.closed = !c.state.Open
+		v.suspect = c.state.Suspect
+		busy = max(busy, c.state.Busy)
+		slots = max(1, c.state.Slots)
+	} else if c.state.Slots > 0 {
+		slots = c.state.Slots
+	}
+	v.load = float64(busy) / float64(slots)
+	return v
+}
+
+// began and ended count requests on their way to the gate.
+func (c *candidate) began() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asking++
+}
+
+func (c *candidate) ended() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asking--
+}
+
+// heard takes in what the gate said of itself.
+func (c *candidate) heard(s hop.State, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.heardAt = s, now
+	c.downFor, c.downUntil = 0, time.Time{}
+}
+
+// failed leaves the gate alone for a while, which doubles while it goes on
+// failing.
+func (c *candidate) failed(now time.Time) (until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.downFor = min(lastDown, max(firstDown, 2*c.downFor))
+	c.downUntil = now.Add(c.downFor)
+	return c.downUntil
+}
--- /dev/null
+++ b/process/entry/directory.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/cuminwheel/cuminwheel/connection/message"
+	"github.com/cuminwheel/cuminwheel/process/roster"
+)
+
+// Nodes are the nodes that are known.
+type Nodes interface {
+	Version() uint64
+	Nodes() []roster.Record
+}
+
+// directory holds the candidates of each service. Candidates outlive changes of
+// the roster, with what is believed of them.
+type directory struct {
+	nodes      Nodes
+	dataCentre string
+	region     string
+
+	mu        sync.Mutex
+	version   uint64
+	byService map[string][]*candidate
+	known     map[roster.Record]*candidate
+}
+
+func newDirectory(n Nodes, dataCentre, region string) *directory {
+	return &directory{nodes: n, dataCentre: dataCentre, region: region}
+}
+
+// candidates returns the gates of a service.
+func (d *directory) candidates(service string) []*candidate {
+	version := d.nodes.Version()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byService == nil || d.version != version {
+		d.rebuild()
+		d.version = version
+	}
+	return d.byService[service]
+}
+
+func (d *directory) rebuild() {
+	before := d.known
+	d.byService, d.known = map[string][]*candidate{}, map[roster.Record]*candidate{}
+	for _, r := range d.nodes.Nodes() {
+		c, ok := before[r]
+		if !ok {
+			c = d.newCandidate(r)
+		}
+		d.known[r] = c
+		d.byService[r.Service] = append(d.byService[r.Service], c)
+	}
+	for r, c := range before {
+		if d.known[r] == nil {
+			c.close()
+		}
+	}
+}
+
+func (d *directory) newCandidate(r roster.Record) *candidate {
+	t := tierRemote
+	switch {
+	case r.DataCentre == d.dataCentre:
+		t = tierDataCentre
+	case r.Region == d.region:
+		t = tierRegion
+	}
+	pool, closePool := message.NewPool(r.Gate, dialTimeouts[t])
+	return &candidate{node: r.Node, address: r.Gate, tier: t, pool: pool, close: closePool}
+}
+
+func (d *directory) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.known {
+		c.close()
+	}
+}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -2,163 +2,271 @@
 
 import (
 	"context"
-	"net/http"
+	"maps"
+	"math/rand/v2"
 	"time"
 
-	"github.com/cuminwheel/cuminwheel/connection/relay"
-	"github.com/cuminwheel/cuminwheel/request/choice"
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
 )
 
-// Bounds of one request's attempts.
+// dialTimeouts bound connecting to a gate, by tier. A node is reached within
+// 1 ms in its region and 60 ms across regions; the rest allows for a node that
+// has used its processor time for a tenth of a second.
+var dialTimeouts = [...]time.Duration{150 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond}
+
+// silences bound how long a gate may say nothing beyond the wait that it was
+// allowed, by tier.
+var silences = [...]time.Duration{200 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond}
+
 const (
-	maxAttempts  = 4
-	refusedPause = 250 * time.Millisecond
+	// finalSlack is how long after the deadline a gate's last word is awaited.
+	finalSlack = 80 * time.Millisecond
+	// patienceShare of the time left is given to a target before an idempotent
+	// request is sent to another one.
+	patienceShare = 0.5
+	// roundPause lies between two rounds through the passes, and roundShare of
+	// the target latency is spent on rounds at most: a request that no gate
+	// takes is turned away early enough for its caller to act.
+	roundPause = 60 * time.Millisecond
+	roundShare = 0.3
+	// maxRetryAfter bounds when callers are told to come back.
+	maxRetryAfter = 2 * time.Second
 )
 
-// dispatch sends the request to one gate after another until one gives its
-// outcome.
-func (e *Entry) dispatch(ctx context.Context, c *call) (*relay.Answer, *outcome.Problem) {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	answer, problem := e.attempts(ctx, c)
-	if answer == nil || answer.Rest == nil {
-		cancel()
-		return answer, problem
-	}
-	answer.OnClose(cancel)
-	return answer, nil
+// journey is what has become of a request so far.
+type journey struct {
+	call  *call
+	began time.Time
+	// asked counts gates that were asked, sent those that were sent the request.
+	asked int
+	sent  int
+	// last is the last problem, unsure the last whose outcome is unknown.
+	last   *outcome.Problem
+	unsure *outcome.Problem
+	// retryAt is the earliest time at which a gate expects room.
+	retryAt time.Time
 }
 
-func (e *Entry) attempts(ctx context.Context, c *call) (*relay.Answer, *outcome.Problem) {
-	var tried choice.Tried
-	var last *outcome.Problem
-	mayHaveRun := false
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		pick, ok := e.choose(c, tried)
-		if !ok {
-			break
+// dispatch asks gates until one gives the request's outcome.
+func (e *Entry) dispatch(ctx context.Context, c *call) (*message.Answer, int, *outcome.Problem) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(finalSlack))
+	defer cancel()
+	j := &journey{call: c, began: time.Now()}
+	giveUp := c.in.Arrived.Add(time.Duration(roundShare * float64(c.targetLatency())))
+	for {
+		for _, p := range passes {
+			if a, done := e.pass(ctx, j, p); done {
+				return a, j.asked, j.conclude()
+			}
 		}
-		tried = append(tried, pick.Candidate)
-		e.logger.Info("chose", "request", c.id, "service", c.service.Name, "gate", pick.Candidate.Address,
-			"tier", pick.Candidate.Tier, "weighed", pick.Weighed, "reason", pick.Reason,
-			"attempt", attempt, "deadline", c.deadline)
-		e.meter.Attempt(pick.Candidate.Tier, attempt > 1)
-		answer, problem := e.attempt(ctx, c, pick.Candidate, attempt)
-		if problem == nil {
-			return answer, nil
+		now := time.Now()
+		if now.After(giveUp) || len(e.directory.candidates(c.service)) == 0 {
+			return nil, j.asked, j.conclude()
 		}
-		last = problem
-		mayHaveRun = mayHaveRun || problem.Outcome == outcome.Unknown
-		if ctx.Err() != nil || !e.mayRetry(c, problem) {
-			break
+		select {
+		case <-ctx.Done():
+			return nil, j.asked, j.conclude()
+		case <-time.After(roundPause):
 		}
 	}
-	return nil, conclude(last, mayHaveRun, c, e.clock())
 }
 
-// conclude returns the problem that the caller gets. A refusal by the last
-// gate does not undo that an earlier one may have run the request.
-func conclude(last *outcome.Problem, mayHaveRun bool, c *call, now time.Time) *outcome.Problem {
-	if last == nil {
-		return outcome.Refused(outcome.CodeNoTarget, http.StatusServiceUnavailable,
-			"service %s has no target that can be reached", c.service.Name).WithRetryAt(now.Add(time.Second))
+// targetLatency is the time within which the answer is worth most.
+func (c *call) targetLatency() time.Duration {
+	if c.route.TargetLatency > 0 {
+		return min(c.route.TargetLatency, c.deadline.Sub(c.in.Arrived))
 	}
-	if mayHaveRun && last.Outcome == outcome.NotRun {
-		return outcome.Failed(outcome.CodeTargetFailed, http.StatusBadGateway,
-			"a target failed during the request and no other took it").WithRetryAt(last.RetryAt)
+	return c.deadline.Sub(c.in.Arrived)
+}
+
+// pass asks the gates of one pass. done means that the request's outcome is
+// certain: an answer, or nothing more to try.
+func (e *Entry) pass(ctx context.Context, j *journey, p pass) (a *message.Answer, done bool) {
+	candidates := e.directory.candidates(j.call.service)
+	asked := map[int]bool{}
+	for range p.asks {
+		now := time.Now()
+		if !now.Before(j.call.deadline) || ctx.Err() != nil {
+			return nil, true
+		}
+		views := make([]view, len(candidates))
+		for i, c := range candidates {
+			views[i] = c.view(now)
+		}
+		mayFail := j.mayFail()
+		i := p.choose(views, func(i int) bool { return asked[i] }, request{mayFail: mayFail}, rand.Float64)
+		if i < 0 {
+			return nil, false
+		}
+		asked[i] = true
+		answer, problem := e.ask(ctx, j, candidates[i], p, views[i])
+		if problem == nil {
+			j.unsure, j.last = nil, nil
+			return answer, true
+		}
+		if !j.goesOn(problem) {
+			return nil, true
+		}
 	}
-	return last
+	return nil, false
 }
 
-func (e *Entry) choose(c *call, tried choice.Tried) (choice.Pick, bool) {
-	set, ok := e.nodes.Index().Set(c.service.Name)
-	if !ok {
-		return choice.Pick{}, false
+// mayFail reports whether the request can be lost to one target and still be
+// sent to another.
+func (j *journey) mayFail() bool {
+	return j.call.route.Idempotent && j.sent+1 < j.call.route.MaxAttempts
+}
+
+// goesOn records a problem and reports whether another gate may be asked.
+func (j *journey) goesOn(p *outcome.Problem) bool {
+	j.last = p
+	if !p.RetryAt.IsZero() && (j.retryAt.IsZero() || p.RetryAt.Before(j.retryAt)) {
+		j.retryAt = p.RetryAt
+	}
+	if p.Code == outcome.CodeShed || p.Code == outcome.CodeMisdirected {
+		j.sent++
 	}
-	remote := e.nodes.MayUseRemote(len(c.body))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return set.Choose(e.clock(), e.random, tried, remote)
+	if p.Outcome == outcome.Unknown {
+		j.sent++
+		j.unsure = p
+		if !j.call.route.Idempotent {
+			return false
+		}
+	}
+	return j.sent < j.call.route.MaxAttempts
 }
 
-// attempt sends the request to one gate and records how that went.
-func (e *Entry) attempt(ctx context.Context, c *call, to *choice.Candidate, attempt int) (*relay.Answer, *outcome.Problem) {
-	began := e.clock()
-	to.Begin()
-	sending, stop := e.moveOnHalfway(ctx, c, attempt)
-	answer, err := e.client.Send(sending, to.Address, c.toGate(attempt))
-	stop()
-	now := e.clock()
-	if err != nil {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			to.Cancelled()
-		} else {
-			to.Failed(now)
+// conclude returns the problem that the caller gets, or nil after an answer. A
+// refusal by the last gate does not undo that an earlier target may have run
+// the request.
+func (j *journey) conclude() *outcome.Problem {
+	now := time.Now()
+	switch {
+	case j.unsure != nil:
+		return j.unsure
+	case j.last != nil:
+		retryAt := j.retryAt
+		if latest := now.Add(maxRetryAfter); retryAt.After(latest) {
+			retryAt = latest
 		}
-		if errors.Is(context.Cause(sending), errMovedOn) {
-			return nil, errMovedOn
+		if !retryAt.IsZero() {
+			return j.last.WithRetryAt(retryAt)
 		}
-		return nil, relay.ProblemOf(ctx, err, "gate", outcome.CodeGateLost)
+		return j.last.WithRetryAt(now.Add(notReadyRetry))
+	case j.answered():
+		return nil
+	case !now.Before(j.call.deadline):
+		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
 	}
-	if to.Tier == choice.TierRemote {
-		e.nodes.SpendRemote(len(c.body) + answer.Len())
+	return outcome.Refused(outcome.CodeNoTarget, "service %s has no target that can be reached", j.call.service).
+		WithRetryAt(now.Add(time.Second))
+}
+
+// answered reports whether an answer was returned.
+func (j *journey) answered() bool { return j.asked > 0 && j.last == nil }
+
+// ask sends the request to one gate.
+func (e *Entry) ask(ctx context.Context, j *journey, to *candidate, p pass, v view) (*message.Answer, *outcome.Problem) {
+	now := time.Now()
+	c := j.call
+	waitUntil := now.Add(time.Duration(p.waitShare * float64(c.targetLatency())))
+	ask := hop.Ask{
+		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
+		Priority: c.route.Priority, Repeat: j.sent > 0, MayFail: j.mayFail(),
+		Deadline: c.deadline, WaitUntil: waitUntil,
 	}
-	problem := outcome.FromHeader(answer.Header, answer.Status, now)
-	switch {
-	case problem == nil:
-		to.Answered(now.Sub(began))
-		return answer, nil
-	case problem.Outcome == outcome.NotRun:
-		to.Refused(retryTime(problem, now))
-	default:
-		to.Failed(now)
-	}
-	answer.Close()
-	problem.Detail = "the gate at " + to.Address + " reported " + string(problem.Code)
-	return nil, problem
+	j.asked++
+	to.began()
+	a, problem := e.exchange(ctx, c, to, ask)
+	to.ended()
+	code := outcome.Code("answered")
+	if problem != nil {
+		code = problem.Code
+	}
+	e.options.Meter.EntryAsked(to.tier.String(), code)
+	e.options.Logger.Info("asked a gate", "request", c.id, "service", c.service, "gate", to.address,
+		"tier", to.tier, "load", v.load, "suspect", v.suspect, "belief_age_ms", min(v.heardAgo, time.Hour).Milliseconds(),
+		"ask", j.asked, "repeat", ask.Repeat, "may_fail", ask.MayFail, "outcome", code,
+		"took_ms", time.Since(now).Milliseconds())
+	return a, problem
 }
 
-// errMovedOn ends an attempt in favour of another, which is paid for already.
-var errMovedOn = outcome.Failed(outcome.CodeSlowGate, http.StatusGatewayTimeout,
-	"the gate gave no answer in half of the time that was left")
-
-// moveOnHalfway returns a context for one attempt at an idempotent request that
-// ends when half of the time is over and the budget allows a retry: a gate
-// whose VM is frozen takes connections and never answers. stop keeps the
-// context from ending so.
-func (e *Entry) moveOnHalfway(ctx context.Context, c *call, attempt int) (sending context.Context, stop func()) {
-	if !c.isIdempotent() || attempt == maxAttempts {
-		return ctx, func() {}
-	}
-	sending, cancel := context.WithCancelCause(ctx)
-	half := c.deadline.Sub(e.clock()) / 2
-	timer := time.AfterFunc(half, func() {
-		if e.budget.spend() {
-			cancel(errMovedOn)
+// exchange sends the request once the gate has granted it a slot.
+func (e *Entry) exchange(ctx context.Context, c *call, to *candidate, ask hop.Ask) (*message.Answer, *outcome.Problem) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn, err := to.pool.Get(ctx, freshHop)
+	if err != nil {
+		return nil, e.unreachable(to, err)
+	}
+	defer to.pool.Put(conn)
+	now := time.Now()
+	silence := time.AfterFunc(ask.WaitUntil.Sub(now)+silences[to.tier], func() { cancel(errSilent) })
+	defer silence.Stop()
+	granted := false
+	var patience *time.Timer
+	h := maps.Clone(c.header)
+	ask.Set(h, now)
+	a, err := conn.Do(ctx, message.Request{
+		Method: c.in.Method, URI: c.in.URI, Host: c.in.Host, Header: h, Body: c.body, ID: c.id, AwaitsGrant: true,
+	}, e.options.Headers.AnswerID, func() {
+		granted = true
+		silence.Stop()
+		if ask.MayFail {
+			left := time.Until(c.deadline)
+			patience = time.AfterFunc(time.Duration(patienceShare*float64(left)), func() { cancel(errImpatient) })
 		}
 	})
-	return sending, func() { timer.Stop() }
+	if patience != nil {
+		patience.Stop()
+	}
+	if err != nil {
+		return nil, e.failure(ctx, to, granted, err)
+	}
+	reply, err := hop.TakeReply(a.Header, time.Now())
+	if err != nil {
+		return nil, outcome.Failed(outcome.CodeGateLost, "%v", err)
+	}
+	to.heard(reply.State, time.Now())
+	if reply.Problem != nil {
+		return nil, reply.Problem
+	}
+	return a, nil
 }
 
-func retryTime(p *outcome.Problem, now time.Time) time.Time {
-	if p.RetryAt.IsZero() {
-		return now.Add(refusedPause)
-	}
-	return p.RetryAt
+// freshHop bounds how long a connection to a gate may have been idle.
+const freshHop = 8 * time.Second
+
+// unreachable records that nothing reached the gate.
+func (e *Entry) unreachable(to *candidate, err error) *outcome.Problem {
+	until := to.failed(time.Now())
+	e.options.Logger.Warn("gate lost", "gate", to.address, "reason", err, "left_alone_until", until)
+	return outcome.Refused(outcome.CodeUnreachable, "the gate cannot be reached")
 }
 
-// mayRetry decides on another attempt after a problem.
-func (e *Entry) mayRetry(c *call, p *outcome.Problem) bool {
-	switch p.Code {
-	case outcome.CodeBadRequest, outcome.CodeBodyTooLarge:
-		return false
-	case outcome.CodeNoTarget, outcome.CodeLeaving, outcome.CodeSlowGate:
-		// The gate was not loaded by the attempt, or the retry is paid for.
-		return true
+// failure says what became of a request whose gate gave no whole answer.
+func (e *Entry) failure(ctx context.Context, to *candidate, granted bool, err error) *outcome.Problem {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, message.ErrCallerGone):
+		if granted {
+			return outcome.Failed(outcome.CodeCallerGone, "the caller left")
+		}
+		return outcome.Refused(outcome.CodeCallerGone, "the caller left")
+	case errors.Is(cause, errImpatient):
+		return outcome.Failed(outcome.CodeTimeout, "%v", errImpatient)
+	case errors.Is(cause, context.DeadlineExceeded) && granted:
+		return outcome.Failed(outcome.CodeTimeout, "the deadline has passed")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed before a slot was free")
 	}
-	if p.Outcome == outcome.NotRun || c.isIdempotent() {
-		return e.budget.spend()
+	to.pool.Drop()
+	p := e.unreachable(to, err)
+	if granted {
+		return outcome.Failed(outcome.CodeGateLost, "the gate's connection ended: %v", err)
 	}
-	return false
+	return p
 }
--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -1,8 +1,7 @@
-// Package entry takes requests from callers and brings each to one of the
-// three outcomes: the whole answer, a refusal that says the request was not
-// run, or a failure whose outcome is unknown.
+// Package entry takes requests from callers on its VM and brings each to a gate
+// that grants it a slot.
 //
-// An attempt is repeated elsewhere only when it certainly did not run or when
-// the request is idempotent, within a budget for retries and the caller's
-// deadline. Claims go to the holder of their key's seat.
+// The decisions stand apart from input and output: choose.go says which gate is
+// asked next and how long the request may wait there, candidate.go what is
+// believed of a gate and until when. dispatch.go carries them out.
 package entry
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -2,223 +2,162 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cuminwheel/cuminwheel/connection/relay"
-	"github.com/cuminwheel/cuminwheel/process/gate"
-	"github.com/cuminwheel/cuminwheel/process/home"
-	"github.com/cuminwheel/cuminwheel/request/choice"
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
+	"github.com/cuminwheel/cuminwheel/request/head"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
-	"github.com/cuminwheel/cuminwheel/version/ledger"
-	"github.com/google/uuid"
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
-// Entry serves callers.
-type Entry struct {
-	clock   func() time.Time
-	logger  hclog.Logger
-	client  *relay.Client
-	states  States
-	nodes   Nodes
-	home    *home.Home
-	self    string
-	budget  *retryBudget
-	limits  *limiter
-	holders holders
-	meter   Meter
-	mu      sync.Mutex
-	random  *rand.Rand
-	leaving bool
-}
-
-// States gives the configuration in force.
-type States interface {
-	State() ledger.State
-	IsReady() bool
+// Headers reads what callers and targets say in headers.
+type Headers interface {
+	Caller(h http.Header, arrived time.Time) head.Caller
+	AnswerID(h http.Header) string
 }
 
-// Nodes gives what is known of other nodes.
-type Nodes interface {
-	// Index returns the candidates of all services.
-	Index() choice.Index
-	// GateOf returns the gate address of a living node.
-	GateOf(node string) (string, bool)
-	// MayUseRemote reports whether the paid links' budget allows a request.
-	MayUseRemote(bytes int) bool
-	// SpendRemote takes what has crossed a paid link from the budget.
-	SpendRemote(bytes int)
+// Configurations is the configuration in force.
+type Configurations interface {
+	Configuration() configuration.Configuration
 }
 
 // Meter counts what the entry does.
 type Meter interface {
-	// Outcome counts a request's outcome and its time at this node.
-	Outcome(service string, o outcome.Outcome, code outcome.Code, took time.Duration)
-	// Attempt counts an attempt by the tier that it went to.
-	Attempt(tier choice.Tier, retry bool)
+	EntryEnded(route string, code outcome.Code, took time.Duration)
+	EntryAsked(tier string, code outcome.Code)
 }
 
-// Options are what an Entry needs. All fields must be set.
+// Options are what an entry works with.
 type Options struct {
-	Clock  func() time.Time
-	Logger hclog.Logger
-	Client *relay.Client
-	States States
-	Nodes  Nodes
-	Home   *home.Home
-	// Self is the control address of this node.
-	Self   string
-	Meter  Meter
-	Random *rand.Rand
+	// Service is the service on whose VM the entry is.
+	Service        string
+	DataCentre     string
+	Region         string
+	Nodes          Nodes
+	Configurations Configurations
+	Headers        Headers
+	Logger         hclog.Logger
+	Meter          Meter
 }
 
-// maxTimeout bounds what a caller may ask for.
-const maxTimeout = 10 * time.Minute
-
-// New returns an entry.
-func New(o Options) *Entry {
-	return &Entry{
-		clock:  o.Clock,
-		logger: o.Logger,
-		client: o.Client,
-		states: o.States,
-		nodes:  o.Nodes,
-		home:   o.Home,
-		self:   o.Self,
-		meter:  o.Meter,
-		random: o.Random,
-		budget: newRetryBudget(),
-		limits: newLimiter(),
-	}
+// Entry takes requests from callers.
+type Entry struct {
+	options   Options
+	directory *directory
+
+	mu sync.Mutex
+	// points are the last points of the routes' sequences, by route.
+	points map[string]float64
 }
 
-// Leave makes the entry refuse new requests.
-func (e *Entry) Leave() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = true
+// New returns an entry and a function that closes its connections to gates.
+func New(o Options) (*Entry, func()) {
+	d := newDirectory(o.Nodes, o.DataCentre, o.Region)
+	return &Entry{options: o, directory: d, points: map[string]float64{}}, d.close
 }
 
-// ServeHTTP serves a caller.
-func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	began := e.clock()
-	id := uuid.NewString()
-	c, problem := e.read(r, id, began)
-	var answer *relay.Answer
+// call is a request on its way.
+type call struct {
+	id       string
+	in       *message.Incoming
+	header   http.Header
+	body     []byte
+	version  uint64
+	route    configuration.Route
+	service  string
+	deadline time.Time
+}
+
+// notReadyRetry is when callers may come back to a node that knows no
+// configuration yet; it learns one within a second of the store's answer.
+const notReadyRetry = 500 * time.Millisecond
+
+// Serve answers a caller's request.
+func (e *Entry) Serve(ctx context.Context, in *message.Incoming) *message.Answer {
+	c, problem := e.read(ctx, in)
+	var a *message.Answer
+	var code outcome.Code
+	asked := 0
 	if problem == nil {
-		answer, problem = e.serve(r.Context(), c)
+		a, asked, problem = e.dispatch(ctx, c)
 	}
+	now := time.Now()
+	status := 0
 	if problem != nil {
-		if problem.Code == outcome.CodeNotReady {
-			w.Header().Set("Connection", "close")
-		}
-		problem.Write(w, id, e.clock())
-		e.finish(c, problem.Outcome, problem.Code, began)
-		return
+		code = problem.Code
+		a = problem.Answer(c.id, now)
 	}
-	e.answer(w, r, c, answer, began)
+	status = a.Status
+	e.options.Meter.EntryEnded(c.route.Name, code, now.Sub(in.Arrived))
+	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service,
+		"configuration", c.version, "status", status, "code", code, "asked", asked,
+		"took_ms", now.Sub(in.Arrived).Milliseconds(), "left_ms", c.deadline.Sub(now).Milliseconds())
+	return a
 }
 
-func (e *Entry) answer(w http.ResponseWriter, r *http.Request, c *call, answer *relay.Answer, began time.Time) {
-	defer answer.Close()
-	if err := answer.WriteAnswered(w, r, c.id); err != nil {
-		e.logger.Warn("answer was cut short", "request", c.id, "reason", err)
-		e.finish(c, outcome.Unknown, outcome.CodeAnswerCut, began)
-		panic(http.ErrAbortHandler)
+// read finds the request's route and reads its body.
+func (e *Entry) read(ctx context.Context, in *message.Incoming) (*call, *outcome.Problem) {
+	caller := e.options.Headers.Caller(in.Header, in.Arrived)
+	current := e.options.Configurations.Configuration()
+	c := &call{id: caller.ID, in: in, version: current.Version, deadline: caller.Deadline}
+	body, err := in.Body(ctx)
+	if err != nil {
+		return c, outcome.Refused(outcome.CodeCallerGone, "the body did not come: %v", err)
 	}
-	e.finish(c, outcome.Answered, "", began)
-}
-
-func (e *Entry) finish(c *call, o outcome.Outcome, code outcome.Code, began time.Time) {
-	service := ""
-	if c != nil {
-		service = c.service.Name
-		e.logger.Info("done", "request", c.id, "service", service, "outcome", o, "code", code, "took", e.clock().Sub(began))
+	c.body = body
+	if current.Version == 0 {
+		return c, outcome.Refused(outcome.CodeNotReady, "no configuration is known yet").WithRetryAt(time.Now().Add(notReadyRetry))
 	}
-	e.meter.Outcome(service, o, code, e.clock().Sub(began))
-}
-
-// read checks a caller's request. The call is nil when there is a problem.
-func (e *Entry) read(r *http.Request, id string, now time.Time) (*call, *outcome.Problem) {
-	e.mu.Lock()
-	leaving := e.leaving
-	e.mu.Unlock()
-	if leaving || !e.states.IsReady() {
-		return nil, outcome.Refused(outcome.CodeNotReady, http.StatusServiceUnavailable,
-			"this node is starting or leaving; use another").WithRetryAt(now.Add(time.Second))
-	}
-	state := e.states.State()
-	match, ok := state.Configuration.RouteFor(strings.TrimSuffix(r.URL.Path, "/"))
+	route, ok := current.RouteFor(hostOf(in.Host), in.Path)
 	if !ok {
-		return nil, outcome.Refused(outcome.CodeNoRoute, http.StatusNotFound, "no route serves %s", r.URL.Path)
-	}
-	service, _ := state.Configuration.Service(match.Service)
-	if len(match.Route.Methods) > 0 && !slices.Contains(match.Route.Methods, r.Method) {
-		return nil, outcome.Refused(outcome.CodeMethod, http.StatusMethodNotAllowed,
-			"%s takes %s", match.Route.PathPrefix, strings.Join(match.Route.Methods, ", "))
-	}
-	customer := r.Header.Get(outcome.HeaderCustomer)
-	if p := e.limit(state.Configuration, customer, now); p != nil {
-		return nil, p
+		return c, outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
 	}
-	deadline, p := deadlineOf(r, service, now)
-	if p != nil {
-		return nil, p
+	c.route = route
+	c.service = route.PartFor(e.point(route))
+	latest := in.Arrived.Add(route.Timeout)
+	if c.deadline.IsZero() || latest.Before(c.deadline) {
+		c.deadline = latest
 	}
-	body, p := gate.ReadBody(r, service.MaxBodyBytes)
-	if p != nil {
-		return nil, p
-	}
-	return &call{
-		id:       id,
-		method:   r.Method,
-		uri:      r.URL.RequestURI(),
-		header:   r.Header,
-		body:     body,
-		customer: customer,
-		service:  service,
-		route:    match.Route,
-		deadline: deadline,
-	}, nil
+	c.header = message.EndToEnd(in.Header)
+	hop.Strip(c.header)
+	return c, nil
 }
 
-func (e *Entry) limit(c configuration.Configuration, customer string, now time.Time) *outcome.Problem {
-	limits, ok := c.Customer(customer)
-	if !ok {
-		return nil
-	}
-	retryAt, ok := e.limits.take(limits, now)
-	if ok {
-		return nil
+// hostOf returns the host without its port.
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
 	}
-	return outcome.Refused(outcome.CodeCustomerLimit, http.StatusTooManyRequests,
-		"customer %s is over %g requests a second", customer, limits.RequestsPerSecond).WithRetryAt(retryAt)
+	return host
 }
 
-func deadlineOf(r *http.Request, s configuration.Service, now time.Time) (time.Time, *outcome.Problem) {
-	timeout := time.Duration(s.TimeoutMillis) * time.Millisecond
-	if text := r.Header.Get(outcome.HeaderTimeout); text != "" {
-		millis, err := strconv.Atoi(text)
-		if err != nil || millis < 1 || millis > int(maxTimeout.Milliseconds()) {
-			return time.Time{}, outcome.Refused(outcome.CodeBadRequest, http.StatusBadRequest,
-				"%s: give a number of ms from 1 to %d", outcome.HeaderTimeout, maxTimeout.Milliseconds())
-		}
-		timeout = time.Duration(millis) * time.Millisecond
+// point returns the next point of a route's sequence, which fills 0 to 1 evenly
+// from a random start, so that even few requests fall to parts by weight.
+func (e *Entry) point(r configuration.Route) float64 {
+	if len(r.Parts) < 2 {
+		return 0
 	}
-	return now.Add(timeout), nil
-}
-
-func (e *Entry) serve(ctx context.Context, c *call) (*relay.Answer, *outcome.Problem) {
-	e.budget.earn()
-	if c.route.NeverRepeat {
-		return e.serveClaim(ctx, c)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.points[r.Name]
+	if !ok {
+		p = rand.Float64()
 	}
-	return e.dispatch(ctx, c)
+	_, p = math.Modf(p + math.Phi - 1)
+	e.points[r.Name] = p
+	return p
 }
+
+// errors of an ask that ended by the entry's own decision.
+var (
+	errSilent    = errors.New("the gate gave no sign of life")
+	errImpatient = errors.New("the target took too long for a request that can be sent again")
+)
--- /dev/null
+++ b/process/follower/current.go
@@ -0,0 +1,59 @@
+package follower
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Decode reads an encoded configuration.
+type Decode func([]byte) (configuration.Configuration, error)
+
+// Current is the newest configuration that a node knows.
+type Current struct {
+	decode Decode
+	logger hclog.Logger
+	inUse  atomic.Pointer[configuration.Configuration]
+
+	mu      sync.Mutex
+	encoded []byte
+}
+
+// NewCurrent returns a Current without a configuration.
+func NewCurrent(decode Decode, logger hclog.Logger) *Current {
+	c := &Current{decode: decode, logger: logger}
+	c.inUse.Store(&configuration.Configuration{})
+	return c
+}
+
+// Configuration returns the configuration in force; its version is zero before
+// the first is known.
+func (c *Current) Configuration() configuration.Configuration { return *c.inUse.Load() }
+
+// Newest returns the version in force and its encoded form.
+func (c *Current) Newest() (version uint64, encoded []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Configuration().Version, c.encoded
+}
+
+// Offer puts an encoded configuration in force if it is newer.
+func (c *Current) Offer(encoded []byte, source string) error {
+	offered, err := c.decode(encoded)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.Configuration().Version
+	if offered.Version <= before {
+		return nil
+	}
+	c.encoded = encoded
+	c.inUse.Store(&offered)
+	c.logger.Info("configuration in force", "version", offered.Version, "before", before, "source", source,
+		"routes", offered.RouteCount())
+	return nil
+}
--- a/process/follower/doc.go
+++ b/process/follower/doc.go
@@ -1,10 +1,7 @@
-// Package follower brings the records of the platform's log to every node.
+// Package follower keeps a node's configuration the newest that it can learn of.
 //
-// In each data centre the nodes are ranked by a hash. The first few read the
-// log itself; each other node waits at two parents of a lower rank, which
-// answer as soon as they have more. The log so has a few readers for each data
-// centre however many nodes there are, and a record crosses each link between
-// regions once for each reader. A node whose parents do not answer asks other
-// nodes and at last the log. While the log is gone, nodes that restart take a
-// snapshot from their peers.
+// The operator's newest configuration lies in the platform's store. A node reads
+// it at its start and then waits for changes. While the store is away, other
+// nodes hand the configuration on. Whatever way one comes, only a higher version
+// than the one in force is taken, so that none ever reverts.
 package follower
--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -1,13 +1,7 @@
-// Package gate guards the targets that announced themselves to this node.
+// Package gate guards the target beside a node.
 //
-// The gate owns the slots of its targets and so knows for certain whether a
-// request began: what it refuses was not run. Requests that find no free slot
-// wait in a queue that is fair between customers, but only if they can still
-// be served in time; all others are refused at once with the time to come
-// back. Targets whose announcement lapses, that drain or that are ejected get
-// no new work.
-//
-// A Pool holds the targets of one service, a Gate all pools, and the Health
-// loop watches each target's work and ejects the sick with the consent of
-// their siblings.
+// Nobody but its own VM reaches a target, so what the gate decides binds: it
+// alone begins requests, and a request that it refuses has not run. It knows
+// the target's start, whether it drains, which slots are taken and whether the
+// last requests failed. Entries learn from its answers and need know nothing.
 package gate
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -1,159 +1,340 @@
 package gate
 
 import (
+	"context"
 	"net/http"
-	"sort"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cuminwheel/cuminwheel/connection/relay"
-	"github.com/cuminwheel/cuminwheel/process/floor"
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
 	"github.com/cuminwheel/cuminwheel/process/judgement"
-	"github.com/cuminwheel/cuminwheel/process/roster"
+	"github.com/cuminwheel/cuminwheel/request/head"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
-	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/hashicorp/go-hclog"
 )
 
-// Gate runs requests at the targets beside it.
+// Headers reads and writes what targets say and are told in headers.
+type Headers interface {
+	SetTarget(h http.Header, t head.ToTarget, now time.Time)
+	OfTarget(status int, h http.Header) head.OfTarget
+	AnswerID(h http.Header) string
+	Caller(h http.Header, arrived time.Time) head.Caller
+}
+
+// Meter counts what the gate does.
+type Meter interface {
+	GateEnded(code outcome.Code)
+}
+
+// Options are what a gate works with.
+type Options struct {
+	// Service and Address are those of the target beside the node.
+	Service string
+	Address string
+	Headers Headers
+	Logger  hclog.Logger
+	Meter   Meter
+	// RetryRatio and RetrySlack are the fleet's bound on repeated sends.
+	RetryRatio float64
+	RetrySlack float64
+	// Gates returns how many gates the service has.
+	Gates func() int
+}
+
+// Gate guards the target beside a node.
 type Gate struct {
-	clock    func() time.Time
-	logger   hclog.Logger
-	client   *relay.Client
-	services Services
-	siblings Siblings
-	bids     *floor.Bids
-	onChange func([]roster.Target)
+	options Options
+	pool    *message.Pool
 
-	mu        sync.Mutex
-	pools     map[string]*Pool
-	published []roster.Target
-	leaving   bool
+	mu      sync.Mutex
+	target  target
+	queue   queue
+	budget  budget
+	gates   int
+	closing bool
 }
 
-// Services gives the rules of a service in force.
-type Services interface {
-	Service(name string) (configuration.Service, bool)
+// dialTimeout bounds a connection to the target, which is on the same VM.
+const dialTimeout = 500 * time.Millisecond
+
+// New returns a gate and a function that closes its connections to the target.
+func New(o Options) (*Gate, func()) {
+	pool, closePool := message.NewPool(o.Address, dialTimeout)
+	g := &Gate{options: o, pool: pool, target: newTarget(), gates: o.Gates()}
+	g.budget = newBudget(o.RetryRatio, o.RetrySlack, g.gates)
+	return g, closePool
 }
 
-// Options are what a Gate needs. All fields must be set.
-type Options struct {
-	Clock    func() time.Time
-	Logger   hclog.Logger
-	Client   *relay.Client
-	Services Services
-	Siblings Siblings
-	// OnChange is called with all targets when one of them has changed.
-	OnChange func([]roster.Target)
-}
-
-// New returns a gate without targets.
-func New(o Options) *Gate {
-	return &Gate{
-		clock:    o.Clock,
-		logger:   o.Logger,
-		client:   o.Client,
-		services: o.Services,
-		siblings: o.Siblings,
-		bids:     floor.NewBids(),
-		onChange: o.OnChange,
-		pools:    map[string]*Pool{},
-	}
-}
-
-// Leave makes the gate refuse all further requests.
-func (g *Gate) Leave() {
+// Announce takes in what the target says of itself. When it returns, no
+// draining target is given new work.
+func (g *Gate) Announce(a Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
+	if a.Service != g.options.Service || a.Address != g.options.Address {
+		return ErrNotOurs
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving = true
+	before := g.target.announced.Instance
+	changed, err := g.target.hear(a, time.Now())
+	if err != nil {
+		return err
+	}
+	if changed {
+		if before != a.Instance {
+			g.pool.Drop()
+		}
+		g.options.Logger.Info("target announced itself", "instance", a.Instance, "born", a.Born,
+			"sequence", a.Sequence, "draining", a.Draining, "slots", a.Slots, "outcome", g.openWord())
+		g.settle()
+	}
+	return nil
 }
 
-// ServeHTTP runs a request that an entry sent.
-func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	now := g.clock()
-	id := r.Header.Get(outcome.HeaderRequestID)
-	ask, service, problem := g.readAsk(r, now)
-	if problem != nil {
-		if problem.Code == outcome.CodeLeaving {
-			w.Header().Set("Connection", "close")
-		}
-		problem.Write(w, id, now)
-		return
+// Leave takes in a target's farewell. When it returns, the target is given no
+// new work.
+func (g *Gate) Leave(f Farewell) error {
+	if f.Instance == "" {
+		return &AnnouncementError{"instance", "name the target's start"}
 	}
-	body, problem := ReadBody(r, service.MaxBodyBytes)
-	if problem != nil {
-		problem.Write(w, id, now)
-		return
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed, err := g.target.leave(f)
+	if err != nil {
+		return err
 	}
-	slot, ctx, problem := g.pool(service.Name).Acquire(r.Context(), ask)
-	if problem != nil {
-		g.logger.Info("refused", "request", id, "service", service.Name, "code", problem.Code, "reason", problem.Detail)
-		problem.Write(w, id, g.clock())
-		return
+	if changed {
+		g.options.Logger.Info("target left", "instance", f.Instance, "born", f.Born, "outcome", g.openWord())
+		g.settle()
 	}
-	g.logger.Info("began", "request", id, "service", service.Name, "target", slot.Address(),
-		"attempt", r.Header.Get(outcome.HeaderAttempt), "deadline", ask.Deadline)
-	g.run(ctx, slot, w, r, body, ask)
+	return nil
 }
 
-func (g *Gate) readAsk(r *http.Request, now time.Time) (Ask, configuration.Service, *outcome.Problem) {
+// Close refuses all new work, since the node is leaving.
+func (g *Gate) Close() {
 	g.mu.Lock()
-	leaving := g.leaving
-	g.mu.Unlock()
-	if leaving {
-		return Ask{}, configuration.Service{}, outcome.Refused(outcome.CodeLeaving, http.StatusServiceUnavailable,
-			"this node is leaving").WithRetryAt(now.Add(noTargetRetry))
+	defer g.mu.Unlock()
+	g.closing = true
+	g.settle()
+}
+
+// HasLeft reports whether the target beside the node is leaving for good.
+func (g *Gate) HasLeft() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.target.known && (g.target.left || g.target.announced.Draining)
+}
+
+// Running returns how many requests the target has.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.target.running
+}
+
+func (g *Gate) openWord() string {
+	if g.target.isOpen() && !g.closing {
+		return "open"
 	}
-	service, ok := g.services.Service(r.Header.Get(outcome.HeaderService))
-	if !ok {
-		return Ask{}, service, outcome.Refused(outcome.CodeNoTarget, http.StatusServiceUnavailable,
-			"service %q is not known here", r.Header.Get(outcome.HeaderService)).WithRetryAt(now.Add(noTargetRetry))
+	return "closed"
+}
+
+// State returns what the gate says of itself to entries.
+func (g *Gate) State() hop.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state(time.Now())
+}
+
+func (g *Gate) state(now time.Time) hop.State {
+	return hop.State{
+		Open:    g.target.isOpen() && !g.closing,
+		Suspect: g.target.trust.IsSuspect(now),
+		Busy:    g.target.running + len(g.queue.waiters),
+		Slots:   g.target.announced.Slots,
 	}
-	millis, err := strconv.ParseInt(r.Header.Get(outcome.HeaderDeadline), 10, 64)
-	if err != nil {
-		return Ask{}, service, outcome.Refused(outcome.CodeBadRequest, http.StatusBadRequest,
-			"%s must be a Unix time in ms", outcome.HeaderDeadline)
+}
+
+// refusal returns why the ask cannot be served at all now, or nil; mu is held.
+func (g *Gate) refusal(a hop.Ask, now time.Time) *outcome.Problem {
+	switch {
+	case a.Service != g.options.Service:
+		return outcome.Refused(outcome.CodeNoTarget, "the target beside this node is of service %s", g.options.Service)
+	case g.closing:
+		return outcome.Refused(outcome.CodeDraining, "the node is leaving")
+	case !g.target.known:
+		return outcome.Refused(outcome.CodeNoTarget, "no target has announced itself")
+	case !g.target.isOpen():
+		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
+	case !now.Before(a.Deadline):
+		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
+	case a.Repeat && !g.budget.canSpend():
+		return outcome.Refused(outcome.CodeRetryBudget, "too many requests are being sent again")
+	}
+	return nil
+}
+
+// grant is the right to run one request at the target; end must be called once.
+type grant struct {
+	began    time.Time
+	instance string
+	trial    bool
+}
+
+// admit returns a grant, at once or after a wait.
+func (g *Gate) admit(ctx context.Context, a hop.Ask) (grant, *outcome.Problem) {
+	g.mu.Lock()
+	now := time.Now()
+	if p := g.refusal(a, now); p != nil {
+		g.mu.Unlock()
+		return grant{}, p
+	}
+	trial := false
+	switch g.target.trust.Admit(now, a.Idempotent && a.MayFail) {
+	case judgement.Withheld:
+		retryAt := g.target.trust.TrialAt()
+		g.mu.Unlock()
+		return grant{}, outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(retryAt)
+	case judgement.Tried:
+		trial = true
+	}
+	if g.target.running < g.target.announced.Slots && g.queue.ahead(a) == 0 {
+		gr := g.take(a, now, trial)
+		g.mu.Unlock()
+		return gr, nil
 	}
-	ask := Ask{
-		Customer:   r.Header.Get(outcome.HeaderCustomer),
-		Deadline:   time.UnixMilli(millis),
-		Idempotent: r.Header.Get(headerIdempotent) == "1",
+	if trial {
+		g.target.trust.TrialEnded()
 	}
-	if !now.Before(ask.Deadline) {
-		return Ask{}, service, outcome.Refused(outcome.CodeNotInTime, http.StatusServiceUnavailable, "the deadline has passed")
+	wait := expectedWait(g.queue.ahead(a), g.target.announced.Slots, g.target.serviceTime)
+	if now.Add(wait).After(a.WaitUntil) {
+		g.mu.Unlock()
+		return grant{}, outcome.Refused(outcome.CodeFull, "the wait for a slot is about %d ms", wait.Milliseconds()).WithRetryAt(now.Add(wait))
 	}
-	return ask, service, nil
+	w := g.queue.push(a)
+	g.mu.Unlock()
+	return g.await(ctx, w)
 }
 
-// Pools returns the names of the services that have had targets here.
-func (g *Gate) poolNames() []string {
+// await waits for the decision on a queued request.
+func (g *Gate) await(ctx context.Context, w *waiter) (grant, *outcome.Problem) {
+	timer := time.NewTimer(time.Until(w.ask.WaitUntil))
+	defer timer.Stop()
+	var p *outcome.Problem
+	select {
+	case p = <-w.decided:
+		return g.granted(p)
+	case <-timer.C:
+		p = outcome.Refused(outcome.CodeFull, "no slot became free in time").WithRetryAt(time.Now().Add(g.meanServiceTime()))
+	case <-ctx.Done():
+		p = outcome.Refused(outcome.CodeCallerGone, "the caller left")
+	}
+	g.mu.Lock()
+	removed := g.queue.remove(w)
+	g.mu.Unlock()
+	if removed {
+		return grant{}, p
+	}
+	return g.granted(<-w.decided)
+}
+
+func (g *Gate) granted(p *outcome.Problem) (grant, *outcome.Problem) {
+	if p != nil {
+		return grant{}, p
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	names := make([]string, 0, len(g.pools))
-	for n := range g.pools {
-		names = append(names, n)
+	return grant{began: time.Now(), instance: g.target.announced.Instance}, nil
+}
+
+func (g *Gate) meanServiceTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.target.serviceTime
+}
+
+// take gives a slot away; mu is held.
+func (g *Gate) take(a hop.Ask, now time.Time, trial bool) grant {
+	g.target.running++
+	if a.Repeat {
+		g.budget.spend()
+	} else {
+		g.budget.earn()
 	}
-	sort.Strings(names)
-	return names
+	return grant{began: now, instance: g.target.announced.Instance, trial: trial}
 }
 
-func (g *Gate) allPools() []*Pool {
-	var list []*Pool
-	for _, n := range g.poolNames() {
-		list = append(list, g.pool(n))
+// settle refuses the waiters that cannot be served any more and gives free
+// slots to the others; mu is held.
+func (g *Gate) settle() {
+	now := time.Now()
+	g.queue.drain(func(a hop.Ask) bool { return g.refusal(a, now) == nil },
+		outcome.Refused(outcome.CodeDraining, "the target is leaving"))
+	if g.target.trust.IsSuspect(now) {
+		g.queue.drain(func(hop.Ask) bool { return false },
+			outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(g.target.trust.TrialAt()))
+	}
+	for g.target.running < g.target.announced.Slots {
+		w := g.queue.pop(func(a hop.Ask) bool { return g.refusal(a, now) == nil })
+		if w == nil {
+			return
+		}
+		g.take(w.ask, now, false)
+		w.decided <- nil
 	}
-	return list
 }
 
-func (g *Gate) pool(service string) *Pool {
+// result is what the gate learned from a request about its target.
+type result int
+
+const (
+	// resultNone says nothing: the request was not sent, or its caller left.
+	resultNone result = iota
+	resultProved
+	resultErred
+	resultLost
+)
+
+// end gives the slot back and takes in what was learned.
+func (g *Gate) end(gr grant, learned result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p, ok := g.pools[service]
-	if !ok {
-		rules, _ := g.services.Service(service)
-		p = newPool(service, judgement.DialFor(rules.Detection), g.clock)
-		g.pools[service] = p
+	now := time.Now()
+	g.target.running--
+	if gr.trial {
+		g.target.trust.TrialEnded()
+	}
+	if gr.instance == g.target.announced.Instance {
+		g.learn(gr, learned, now)
+	}
+	if n := g.options.Gates(); n != g.gates {
+		g.gates = n
+		tokens := g.budget.tokens
+		g.budget = newBudget(g.options.RetryRatio, g.options.RetrySlack, n)
+		g.budget.tokens = min(tokens, g.budget.most)
 	}
-	return p
+	g.settle()
+}
+
+func (g *Gate) learn(gr grant, learned result, now time.Time) {
+	before := g.target.trust.IsSuspect(now)
+	switch learned {
+	case resultProved:
+		g.target.trust.Proved(now)
+		g.target.took(now.Sub(gr.began))
+	case resultErred:
+		g.target.trust.Erred(now)
+	case resultLost:
+		g.target.trust.Lost(now)
+	}
+	if after := g.target.trust.IsSuspect(now); after != before {
+		g.options.Logger.Info("trust in the target changed", "instance", gr.instance, "suspect", after,
+			"reason", learned.String())
+	}
+}
+
+func (r result) String() string {
+	return [...]string{"none", "proved", "erred", "lost"}[r]
 }
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -1,101 +1,92 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+)
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	ask     Ask
-	granted chan *Slot
-	refused chan struct{}
-	// left means that the waiter is no longer counted: it was granted or
-	// refused, or its caller went away.
-	left bool
+	ask     hop.Ask
+	arrived int64
+	// decided gets the slot's problem, or nil for a slot, exactly once.
+	decided chan *outcome.Problem
 }
 
-// queue serves customers in turn, so that one with many requests does not
-// delay the others by more than one request each.
+// queue holds the requests that wait for a slot: the most urgent first, and
+// among equals the one that came first.
 type queue struct {
-	byCustomer map[string][]*waiter
-	turns      []string
-	length     int
+	waiters  []*waiter
+	arrivals int64
 }
 
-func (q *queue) push(w *waiter) {
-	if q.byCustomer == nil {
-		q.byCustomer = map[string][]*waiter{}
-	}
-	c := w.ask.Customer
-	if len(q.byCustomer[c]) == 0 {
-		q.turns = append(q.turns, c)
-	}
-	q.byCustomer[c] = append(q.byCustomer[c], w)
-	q.length++
+func (q *queue) push(a hop.Ask) *waiter {
+	q.arrivals++
+	w := &waiter{ask: a, arrived: q.arrivals, decided: make(chan *outcome.Problem, 1)}
+	q.waiters = append(q.waiters, w)
+	return w
 }
 
-// leave stops counting a waiter, whose place in the list is dropped later.
-func (q *queue) leave(w *waiter) {
-	if !w.left {
-		w.left = true
-		q.length--
+// remove takes a waiter out and reports whether it was still there.
+func (q *queue) remove(w *waiter) bool {
+	for i, other := range q.waiters {
+		if other == w {
+			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			return true
+		}
 	}
+	return false
 }
 
-// pop returns the next waiter that accept allows and that can still be served
-// in time.
-func (q *queue) pop(now time.Time, accept func(Ask) bool) *waiter {
-	for i := 0; i < len(q.turns); i++ {
-		c := q.turns[i]
-		w, passedOver := q.popFrom(c, now, accept)
-		if w == nil && passedOver {
-			continue
-		}
-		q.turns = append(q.turns[:i], q.turns[i+1:]...)
-		if len(q.byCustomer[c]) > 0 {
-			q.turns = append(q.turns, c)
-		} else {
-			delete(q.byCustomer, c)
+// pop takes the next waiter that accept allows.
+func (q *queue) pop(accept func(hop.Ask) bool) *waiter {
+	var best *waiter
+	for _, w := range q.waiters {
+		if (best == nil || w.before(best)) && accept(w.ask) {
+			best = w
 		}
-		if w != nil {
-			return w
-		}
-		i--
 	}
-	return nil
+	if best != nil {
+		q.remove(best)
+	}
+	return best
 }
 
-// popFrom takes the first servable waiter of a customer. passedOver reports
-// that some remain which accept does not allow now.
-func (q *queue) popFrom(c string, now time.Time, accept func(Ask) bool) (w *waiter, passedOver bool) {
-	list := q.byCustomer[c]
-	for len(list) > 0 {
-		head := list[0]
-		isWaiting := !head.left && now.Before(head.ask.Deadline)
-		if isWaiting && !accept(head.ask) {
-			q.byCustomer[c] = list
-			return nil, true
-		}
-		list = list[1:]
-		q.leave(head)
-		if isWaiting {
-			q.byCustomer[c] = list
-			return head, false
+func (w *waiter) before(other *waiter) bool {
+	if w.ask.Priority != other.ask.Priority {
+		return w.ask.Priority < other.ask.Priority
+	}
+	return w.arrived < other.arrived
+}
+
+// ahead counts the waiters that an ask would wait behind.
+func (q *queue) ahead(a hop.Ask) int {
+	n := 0
+	for _, w := range q.waiters {
+		if w.ask.Priority <= a.Priority {
+			n++
 		}
 	}
-	q.byCustomer[c] = nil
-	return nil, false
+	return n
 }
 
-// drain empties the queue and returns who waited.
-func (q *queue) drain() []*waiter {
-	var all []*waiter
-	for _, list := range q.byCustomer {
-		for _, w := range list {
-			if !w.left {
-				w.left = true
-				all = append(all, w)
-			}
+// drain refuses every waiter that keep does not allow.
+func (q *queue) drain(keep func(hop.Ask) bool, p *outcome.Problem) {
+	kept := q.waiters[:0]
+	for _, w := range q.waiters {
+		if keep(w.ask) {
+			kept = append(kept, w)
+			continue
 		}
+		w.decided <- p
 	}
-	*q = queue{}
-	return all
+	q.waiters = kept
+}
+
+// expectedWait is how long an ask waits until one of slots is free, given the
+// mean time that a request holds its slot.
+func expectedWait(ahead, slots int, serviceTime time.Duration) time.Duration {
+	return serviceTime * time.Duration(ahead+1) / time.Duration(max(1, slots))
 }
--- /dev/null
+++ b/process/gate/serve.go
@@ -0,0 +1,149 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
+	"github.com/cuminwheel/cuminwheel/request/head"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// freshForAll and freshForOnce bound how long a connection to the target
+	// may have been idle: a request that must not run twice is not lost to a
+	// connection that the target has forgotten.
+	freshForAll  = 30 * time.Second
+	freshForOnce = 2 * time.Second
+	// answerSlack is how long after the deadline an answer is waited for; a
+	// target ends its work at the deadline and says so.
+	answerSlack = 30 * time.Millisecond
+)
+
+// Serve answers a request that an entry sent.
+func (g *Gate) Serve(ctx context.Context, in *message.Incoming) *message.Answer {
+	a, problem := g.serve(ctx, in)
+	now := time.Now()
+	if problem != nil {
+		id := g.options.Headers.Caller(in.Header, now).ID
+		a = problem.Answer(id, now)
+		g.options.Meter.GateEnded(problem.Code)
+	} else {
+		g.options.Meter.GateEnded("")
+	}
+	hop.Reply{State: g.State(), Problem: problem}.Set(a.Header, now)
+	return a
+}
+
+func (g *Gate) serve(ctx context.Context, in *message.Incoming) (*message.Answer, *outcome.Problem) {
+	ask, err := hop.TakeAsk(in.Header, in.Arrived)
+	if err != nil {
+		return nil, outcome.Refused(outcome.CodeBadRequest, "%v", err)
+	}
+	id := g.options.Headers.Caller(in.Header, in.Arrived).ID
+	gr, problem := g.admit(ctx, ask)
+	if problem != nil {
+		g.options.Logger.Info("gate refused", "request", id, "reason", problem.Code, "repeat", ask.Repeat,
+			"may_fail", ask.MayFail, "left_ms", time.Until(ask.Deadline).Milliseconds())
+		return nil, problem
+	}
+	verdict := resultNone
+	defer func() { g.end(gr, verdict) }()
+	body, err := in.Body(ctx)
+	if err != nil {
+		return nil, outcome.Refused(outcome.CodeCallerGone, "the entry did not go on: %v", err)
+	}
+	answer, learned, problem := g.run(ctx, in, ask, gr, id, body)
+	verdict = learned
+	g.logEnd(id, gr, answer, learned, problem)
+	return answer, problem
+}
+
+func (g *Gate) logEnd(id string, gr grant, a *message.Answer, learned result, p *outcome.Problem) {
+	ms := time.Since(gr.began).Milliseconds()
+	if p != nil {
+		g.options.Logger.Warn("target failed", "request", id, "instance", gr.instance, "outcome", p.Outcome,
+			"code", p.Code, "reason", p.Detail, "learned", learned, "trial", gr.trial, "took_ms", ms)
+		return
+	}
+	g.options.Logger.Info("target answered", "request", id, "instance", gr.instance, "status", a.Status,
+		"learned", learned, "trial", gr.trial, "took_ms", ms)
+}
+
+// run sends the request to the target and returns the whole answer.
+func (g *Gate) run(ctx context.Context, in *message.Incoming, ask hop.Ask, gr grant, id string, body []byte) (*message.Answer, result, *outcome.Problem) {
+	ctx, cancel := context.WithDeadline(ctx, ask.Deadline.Add(answerSlack))
+	defer cancel()
+	freshness := freshForOnce
+	if ask.Idempotent {
+		freshness = freshForAll
+	}
+	conn, err := g.pool.Get(ctx, freshness)
+	if err != nil {
+		return nil, resultLost, outcome.Refused(outcome.CodeUnreachable, "connect to the target: %v", err)
+	}
+	defer g.pool.Put(conn)
+	h := message.EndToEnd(in.Header)
+	g.options.Headers.SetTarget(h, head.ToTarget{
+		ID: id, Deadline: ask.Deadline, Instance: gr.instance, CallerService: ask.CallerService,
+	}, time.Now())
+	a, err := conn.Do(ctx, message.Request{
+		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
+	}, g.options.Headers.AnswerID, nil)
+	if err != nil {
+		learned, p := failure(ctx, err)
+		return nil, learned, p
+	}
+	return g.weigh(a)
+}
+
+// failure says what became of a request that got no whole answer.
+func failure(ctx context.Context, err error) (result, *outcome.Problem) {
+	switch {
+	case errors.Is(err, message.ErrNotSent) && ctx.Err() == nil:
+		return resultLost, outcome.Refused(outcome.CodeUnreachable, "%v", err)
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return resultLost, outcome.Failed(outcome.CodeTimeout, "the target did not answer in time")
+	case ctx.Err() != nil:
+		return resultNone, outcome.Failed(outcome.CodeCallerGone, "the caller left")
+	case errors.Is(err, message.ErrForeign):
+		return resultLost, outcome.Failed(outcome.CodeAnswerForeign, "%v", err)
+	case errors.Is(err, message.ErrCut):
+		return resultLost, outcome.Failed(outcome.CodeAnswerCut, "%v", err)
+	}
+	return resultLost, outcome.Failed(outcome.CodeTargetFailed, "%v", err)
+}
+
+// weigh says what an answer means.
+func (g *Gate) weigh(a *message.Answer) (*message.Answer, result, *outcome.Problem) {
+	said := g.options.Headers.OfTarget(a.Status, a.Header)
+	hop.Strip(a.Header)
+	a.Header = message.EndToEnd(a.Header)
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		g.forget()
+		return nil, resultNone, outcome.Refused(outcome.CodeMisdirected, "another target has the address")
+	case said.NotRun && a.Status == http.StatusBadRequest:
+		return a, resultNone, nil
+	case said.NotRun:
+		return nil, resultErred, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", a.Status)
+	case a.Status < http.StatusMultipleChoices && !said.Signed:
+		return nil, resultLost, outcome.Failed(outcome.CodeUnsigned, "the answer bears no proof of the target")
+	case a.Status >= http.StatusInternalServerError:
+		return a, resultErred, nil
+	}
+	return a, resultProved, nil
+}
+
+// forget closes the gate until the target announces its present start.
+func (g *Gate) forget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := g.target.running
+	g.target = newTarget()
+	g.target.running = running
+	g.options.Logger.Warn("another target has the address", "outcome", "closed until it announces itself")
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -1,110 +1,95 @@
 package gate
 
 import (
-	"context"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/judgement"
-	"github.com/cuminwheel/cuminwheel/process/roster"
 )
 
-// Announcement is what a target says of itself to the node beside it.
-type Announcement struct {
-	Service string `json:"service"`
-	// Address is the target's own, host:port.
-	Address string `json:"address"`
-	// Slots is how many requests the target takes at once.
-	Slots int `json:"slots"`
-	// Draining asks for no new work while requests in progress end.
-	Draining bool `json:"draining,omitempty"`
-	// LeaseMillis is how long the announcement holds unless renewed.
-	LeaseMillis int `json:"lease_ms,omitempty"`
-}
-
-// target is an announced target. The pool's mutex guards it.
+// target is what the gate knows of the target beside it. The gate's mutex
+// guards it.
 type target struct {
-	announced  Announcement
-	leaseUntil time.Time
-	busy       int
-	flights    map[*Slot]time.Time
-	judge      *judgement.Judge
-	standing   judgement.Standing
-	bidding    bool
-	// attendAt is when the target may be attended to again.
-	attendAt time.Time
+	announced Announcement
+	// known means that an announcement of the present start has come.
+	known bool
+	// left means that the present start has said farewell or was found gone.
+	left bool
+	// heardAt is when the present start last announced itself.
+	heardAt time.Time
+	// rival is the last announcement of a start that seems to be an older one.
+	rival Announcement
+	// running counts the slots that are taken.
+	running int
+	// serviceTime is the mean time of a request, exponentially weighted.
+	serviceTime time.Duration
+	trust       judgement.Trust
 }
 
-// Lengths of a target's lease.
 const (
-	defaultLease = 3 * time.Second
-	maxLease     = 10 * time.Second
+	// firstServiceTime stands in until requests have been measured.
+	firstServiceTime = 100 * time.Millisecond
+	// serviceTimeShare is the weight of the newest request in the mean.
+	serviceTimeShare = 0.1
 )
 
-func newTarget(a Announcement, d judgement.Dial) *target {
-	return &target{announced: a, judge: judgement.New(d), flights: map[*Slot]time.Time{}}
-}
+func newTarget() target { return target{serviceTime: firstServiceTime} }
 
-func (t *target) renew(a Announcement, now time.Time) {
-	lease := defaultLease
-	if a.LeaseMillis > 0 {
-		lease = min(maxLease, time.Duration(a.LeaseMillis)*time.Millisecond)
-	}
-	t.announced = a
-	t.leaseUntil = now.Add(lease)
-}
+// isOpen reports whether the target takes new work.
+func (t *target) isOpen() bool { return t.known && !t.left && !t.announced.Draining }
 
-// isServing reports whether the target takes new work at all.
-func (t *target) isServing(now time.Time) bool {
-	return !t.announced.Draining && now.Before(t.leaseUntil) && t.standing.Phase(now) != judgement.PhaseEjected
-}
+// rivalSilence is how long the known start must have been silent for one that
+// seems older to take its place: clocks may jump by seconds, and a target
+// announces itself every 1.5 s or so.
+const rivalSilence = 5 * time.Second
 
-// isFree reports whether the target can begin a request now. A target on
-// trial takes one idempotent request at a time.
-func (t *target) isFree(now time.Time, idempotent bool) bool {
-	if !t.isServing(now) {
-		return false
-	}
-	if t.standing.Phase(now) == judgement.PhaseTrial {
-		return idempotent && t.busy == 0
-	}
-	return t.busy < t.announced.Slots
-}
-
-// isHealthy reports whether the target counts as healthy capacity.
-func (t *target) isHealthy(now time.Time) bool {
-	return t.isServing(now) && t.standing.Phase(now) == judgement.PhaseServing && !t.judge.IsSuspected()
-}
-
-func (t *target) state(now time.Time) roster.TargetState {
+// hear takes in an announcement. changed reports whether a start began or the
+// target opened or closed.
+func (t *target) hear(a Announcement, now time.Time) (changed bool, err error) {
+	sameStart := a.Instance == t.announced.Instance && a.Born.Equal(t.announced.Born)
 	switch {
-	case t.announced.Draining || !now.Before(t.leaseUntil):
-		return roster.TargetDraining
-	case t.standing.Phase(now) == judgement.PhaseEjected:
-		return roster.TargetEjected
+	case !t.known:
+	case sameStart:
+		// A start that said farewell does not come back.
+		if t.left || a.Sequence <= t.announced.Sequence {
+			return false, ErrOutdated
+		}
+		changed = a.Draining != t.announced.Draining
+		// Draining ends only with the start.
+		a.Draining = a.Draining || t.announced.Draining
+		t.announced, t.heardAt = a, now
+		return changed, nil
+	case !a.Born.After(t.announced.Born):
+		last := t.rival
+		t.rival = a
+		isAlive := last.Instance == a.Instance && last.Born.Equal(a.Born) && a.Sequence > last.Sequence
+		if !isAlive || now.Sub(t.heardAt) < rivalSilence {
+			return false, ErrOutdated
+		}
 	}
-	return roster.TargetServing
+	running := t.running
+	*t = newTarget()
+	t.running = running
+	t.announced, t.known, t.heardAt = a, true, now
+	return true, nil
 }
 
-// youngestAge returns the age of the request that began last.
-func (t *target) youngestAge(now time.Time) time.Duration {
-	youngest := time.Duration(-1)
-	for _, began := range t.flights {
-		if age := now.Sub(began); youngest < 0 || age < youngest {
-			youngest = age
-		}
+// leave takes in a farewell. An unknown start's is remembered too, since its
+// announcements may still come.
+func (t *target) leave(f Farewell) (changed bool, err error) {
+	if !t.known {
+		t.announced = Announcement{Instance: f.Instance, Born: f.Born}
+		t.known, t.left = true, true
+		return true, nil
 	}
-	return max(0, youngest)
+	if f.Instance != t.announced.Instance || !f.Born.IsZero() && f.Born.Before(t.announced.Born) {
+		return false, ErrOutdated
+	}
+	changed = !t.left
+	t.left = true
+	return changed, nil
 }
 
-// Slot is the right to run one request at a target. End must be called once.
-type Slot struct {
-	pool   *Pool
-	target *target
-	work   judgement.Work
-	began  time.Time
-	cancel context.CancelCauseFunc
-	idem   bool
+// took records how long a request held its slot.
+func (t *target) took(d time.Duration) {
+	t.serviceTime += time.Duration(serviceTimeShare * float64(d-t.serviceTime))
 }
-
-// Address returns the target's address.
-func (s *Slot) Address() string { return s.target.announced.Address }
--- a/process/judgement/dial.go
+++ b/process/judgement/dial.go
@@ -1,9 +1,18 @@
 package judgement
 
-import (
-	"time"
+import "time"
 
-	"github.com/cuminwheel/cuminwheel/version/configuration"
+// Detection names a policy for judging targets.
+type Detection string
+
+// The two ends of the dial, and the middle.
+const (
+	// DetectFast accepts more false ejections for a shorter detection time.
+	DetectFast Detection = "fast"
+	// DetectBalanced stands between the two.
+	DetectBalanced Detection = "balanced"
+	// DetectCareful accepts a longer detection time for fewer false ejections.
+	DetectCareful Detection = "careful"
 )
 
 // Dial sets a Judge between short detection time and few false ejections.
@@ -18,11 +27,11 @@
 }
 
 // DialFor returns the dial for a service's detection setting.
-func DialFor(d configuration.Detection) Dial {
+func DialFor(d Detection) Dial {
 	switch d {
-	case configuration.DetectFast:
+	case DetectFast:
 		return Dial{Threshold: 12, MinSpan: 350 * time.Millisecond, StallAge: 800 * time.Millisecond}
-	case configuration.DetectCareful:
+	case DetectCareful:
 		return Dial{Threshold: 20, MinSpan: 1000 * time.Millisecond, StallAge: 2500 * time.Millisecond}
 	default:
 		return Dial{Threshold: 16, MinSpan: 500 * time.Millisecond, StallAge: 1500 * time.Millisecond}
--- /dev/null
+++ b/process/judgement/trust.go
@@ -0,0 +1,107 @@
+package judgement
+
+import (
+	"math"
+	"time"
+)
+
+// Trust decides what work a target may be given after its last failures. A
+// target whose requests were reset or lost lately gets no request that must not
+// run twice, and tries out one idempotent request at a time until some succeed.
+// Trust returns by itself with time, so that a target without idempotent work
+// is tried again too. It is not safe for concurrent use.
+type Trust struct {
+	// doubt is from 0 to 1 at the time asOf.
+	doubt    float64
+	asOf     time.Time
+	trialAt  time.Time
+	interval time.Duration
+	inTrial  bool
+}
+
+const (
+	// suspectDoubt is the doubt from which a target is suspected: one lost
+	// request is enough, three errors in a row are.
+	suspectDoubt = 0.3
+	// lostWeight and errorWeight are the shares of the remaining trust that a
+	// lost request and an answer that is an error take away.
+	lostWeight  = 0.5
+	errorWeight = 0.15
+	// provenShare of the doubt remains after a success.
+	provenShare = 0.4
+	// doubtHalfLife is the time in which doubt halves by itself. Sickness of
+	// seconds is the usual kind.
+	doubtHalfLife = 4 * time.Second
+	// firstTrial and lastTrial bound the time between two trials. The floor
+	// rule asks that a sound target is never left without work for 2 s.
+	firstTrial = 200 * time.Millisecond
+	lastTrial  = time.Second
+)
+
+// Admission is what Trust decides about a request.
+type Admission int
+
+// The admissions.
+const (
+	// Withheld means that the target may not be given the request now.
+	Withheld Admission = iota
+	// Admitted means that it may.
+	Admitted
+	// Tried means that it may, as the only trial.
+	Tried
+)
+
+func (t *Trust) age(now time.Time) {
+	if !t.asOf.IsZero() && now.After(t.asOf) {
+		t.doubt *= math.Exp2(-float64(now.Sub(t.asOf)) / float64(doubtHalfLife))
+	}
+	t.asOf = now
+}
+
+// IsSuspect reports whether the target has failed too much lately.
+func (t *Trust) IsSuspect(now time.Time) bool {
+	t.age(now)
+	return t.doubt >= suspectDoubt
+}
+
+// Admit decides about a request; mayFail means that it may be lost without
+// harm. Of a Tried request, TrialEnded must be told.
+func (t *Trust) Admit(now time.Time, mayFail bool) Admission {
+	switch {
+	case !t.IsSuspect(now):
+		return Admitted
+	case !mayFail || t.inTrial || now.Before(t.trialAt):
+		return Withheld
+	}
+	t.inTrial = true
+	return Tried
+}
+
+// TrialAt returns when the next trial may begin.
+func (t *Trust) TrialAt() time.Time { return t.trialAt }
+
+// TrialEnded lets the next trial begin in its time.
+func (t *Trust) TrialEnded() { t.inTrial = false }
+
+// Lost records a request whose answer did not come whole.
+func (t *Trust) Lost(now time.Time) { t.doubtBy(now, lostWeight) }
+
+// Erred records an answer that is an error of the target's own.
+func (t *Trust) Erred(now time.Time) { t.doubtBy(now, errorWeight) }
+
+func (t *Trust) doubtBy(now time.Time, weight float64) {
+	t.age(now)
+	t.doubt += weight * (1 - t.doubt)
+	t.interval = min(lastTrial, max(firstTrial, 2*t.interval))
+	t.trialAt = now.Add(t.interval)
+}
+
+// Proved records a whole answer that is no error.
+func (t *Trust) Proved(now time.Time) {
+	t.age(now)
+	t.doubt *= provenShare
+	if t.doubt < suspectDoubt {
+		t.interval = 0
+	}
+	t.trialAt = now
+}
--- /dev/null
+++ b/process/node/leave.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// callerTime is how long callers may still come after the node has said
+	// that it leaves: the platform asks each second and believes two misses.
+	callerTime = 3200 * time.Millisecond
+	// leaveCheck is how often the node looks whether its work has ended.
+	leaveCheck = 50 * time.Millisecond
+	// endMargin before the deadline is left for closing.
+	endMargin = 300 * time.Millisecond
+	// storeMargin bounds what a leaving node spends on its record in the store.
+	storeMargin = time.Second
+)
+
+// leave ends the node gracefully. The gate takes no more work at once; callers
+// are served until they stay away, and each answer ends its connection; the
+// target beside the node may make requests while it works.
+func (n *Node) leave(ctx context.Context) {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.gate.Close()
+	n.logger.Info("node leaving", "requests", n.callers.Busy(), "gate_requests", n.entries.Busy(), "target_left", n.gate.HasLeft())
+	n.callers.Drain()
+	if n.gate.HasLeft() {
+		n.run(func() { n.sayGoodbye(ctx) })
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = began.Add(n.settings.Grace)
+	}
+	deadline = deadline.Add(-endMargin)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		isQuiet := n.callers.Busy() == 0 && n.entries.Busy() == 0 && n.gate.Running() == 0
+		if isQuiet && time.Since(began) >= callerTime {
+			break
+		}
+		pause(ctx, leaveCheck)
+	}
+	n.callers.CloseIdle()
+	n.logger.Info("node stopped", "after_ms", time.Since(began).Milliseconds(),
+		"requests_left", n.callers.Busy(), "gate_requests_left", n.entries.Busy())
+	n.stop()
+}
+
+// sayGoodbye tells the fleet that the node will not come back.
+func (n *Node) sayGoodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeMargin)
+	defer cancel()
+	gone := n.roster.Leave()
+	n.spread.TellNow(ctx, gone)
+	if err := n.around.Meeting.Leave(ctx, gone); err != nil {
+		n.logger.Warn("the node's record stays in the store", "reason", err)
+	}
+}
--- a/process/node/meter.go
+++ b/process/node/meter.go
@@ -2,37 +2,46 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cuminwheel/cuminwheel/request/choice"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 )
 
-// meter counts what a node does. Each node has its own set, so that several
-// nodes in one process do not mix.
+// meter holds a node's metrics.
 type meter struct {
 	set *metrics.Set
 }
 
 func newMeter() *meter { return &meter{set: metrics.NewSet()} }
 
-// Outcome counts a request's outcome and its time at this node.
-func (m *meter) Outcome(service string, o outcome.Outcome, code outcome.Code, took time.Duration) {
-	name := fmt.Sprintf(`cuminwheel_requests_total{service=%q,outcome=%q,code=%q}`, service, o, code)
-	m.set.GetOrCreateCounter(name).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`cuminwheel_request_seconds{service=%q}`, service)).Update(took.Seconds())
+// observe adds gauges that read the node's state.
+func (m *meter) observe(n *Node) {
+	m.set.NewGauge("cuminwheel_configuration_version", func() float64 {
+		return float64(n.current.Configuration().Version)
+	})
+	m.set.NewGauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.roster.Nodes())) })
+	m.set.NewGauge("cuminwheel_target_busy", func() float64 { return float64(n.gate.State().Busy) })
+	m.set.NewGauge("cuminwheel_target_suspect", func() float64 {
+		if n.gate.State().Suspect {
+			return 1
+		}
+		return 0
+	})
 }
 
-// Attempt counts an attempt by the tier that it went to.
-func (m *meter) Attempt(tier choice.Tier, retry bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_attempts_total{tier=%q,retry="%t"}`, tier, retry)).Inc()
+// EntryEnded counts a caller's request.
+func (m *meter) EntryEnded(route string, code outcome.Code, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_requests_total{route=%q,code=%q}`, route, code)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`cuminwheel_request_seconds{route=%q}`, route)).Update(took.Seconds())
 }
 
-func (m *meter) gauge(name string, f func() float64) { m.set.GetOrCreateGauge(name, f) }
+// EntryAsked counts a question to a gate.
+func (m *meter) EntryAsked(tier string, code outcome.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_asks_total{tier=%q,code=%q}`, tier, code)).Inc()
+}
 
-func (m *meter) write(w io.Writer) {
-	m.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+// GateEnded counts a request at the gate.
+func (m *meter) GateEnded(code outcome.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_gate_requests_total{code=%q}`, code)).Inc()
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -2,314 +2,200 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/link"
-	"github.com/cuminwheel/cuminwheel/connection/logservice"
-	"github.com/cuminwheel/cuminwheel/connection/relay"
+	"github.com/cuminwheel/cuminwheel/connection/message"
 	"github.com/cuminwheel/cuminwheel/process/entry"
 	"github.com/cuminwheel/cuminwheel/process/follower"
 	"github.com/cuminwheel/cuminwheel/process/gate"
-	"github.com/cuminwheel/cuminwheel/process/home"
-	"github.com/cuminwheel/cuminwheel/process/lease"
-	"github.com/cuminwheel/cuminwheel/process/pause"
 	"github.com/cuminwheel/cuminwheel/process/roster"
 	"github.com/cuminwheel/cuminwheel/process/settings"
-	"github.com/cuminwheel/cuminwheel/request/outcome"
-	"github.com/cuminwheel/cuminwheel/version/configuration"
-	"github.com/cuminwheel/cuminwheel/version/ledger"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
 
-// Node is one process of the fleet.
+// Headers reads and writes the headers of callers' requests and targets'
+// answers.
+type Headers interface {
+	entry.Headers
+	gate.Headers
+}
+
+// Meeting is where nodes find each other.
+type Meeting interface {
+	Join(ctx context.Context, r roster.Record) error
+	Leave(ctx context.Context, r roster.Record) error
+	Nodes(ctx context.Context) (records []roster.Record, malformed int, err error)
+}
+
+// Surroundings are what a node meets outside the fleet.
+type Surroundings struct {
+	Headers        Headers
+	Decode         follower.Decode
+	Configurations follower.Source
+	Meeting        Meeting
+	// Announcements returns the handler of what the target says of itself.
+	Announcements func(*gate.Gate, hclog.Logger) http.Handler
+	// ReadyPath is where the node is asked whether it takes callers.
+	ReadyPath string
+	// AnnouncementPath is where the target calls.
+	AnnouncementPath string
+}
+
+// Node is a running node.
 type Node struct {
 	settings settings.Settings
 	logger   hclog.Logger
-	journal  *ledger.Journal
-	roster   *roster.Roster
-	feed     *roster.Feed
-	gate     *gate.Gate
-	entry    *entry.Entry
-	home     *home.Home
-	keeper   *home.Keeper
 	meter    *meter
+	around   Surroundings
 
-	mu      sync.Mutex
-	leaving bool
-}
+	current *follower.Current
+	roster  *roster.Roster
+	spread  *roster.Spread
+	gate    *gate.Gate
 
-// Bounds of the HTTP servers.
-const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 60 * time.Second
-	writeTimeout      = 10 * time.Minute
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	handOverTimeout   = 5 * time.Second
-	// leaveNotice is how long a leaving node goes on serving those who have not
-	// heard yet that it leaves, and again how long it goes on refusing.
-	leaveNotice = 2 * time.Second
-)
+	callers *message.Listener
+	entries *message.Listener
+
+	leaving atomic.Bool
+	// cleanups run in reverse order when the node ends.
+	cleanups []func()
+	tasks    sync.WaitGroup
+	cancel   context.CancelFunc
+}
 
-// Start runs a node. The returned function leaves the fleet: it announces
-// that, hands over claim seats, lets all requests in progress end and then
-// closes everything. Its context cuts that short.
-func Start(s settings.Settings, l hclog.Logger) (*Node, func(context.Context) error, error) {
-	if err := s.Check(); err != nil {
+// Start starts a node. The returned function makes it leave: it refuses new
+// work at the gate, serves what callers have sent, and ends by the deadline of
+// its context.
+func Start(s settings.Settings, around Surroundings, logger hclog.Logger) (*Node, func(context.Context), error) {
+	n := &Node{settings: s, logger: logger, around: around, meter: newMeter()}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err := n.start(ctx); err != nil {
+		n.stop()
 		return nil, nil, err
 	}
-	started := time.Now()
-	pool, closePool := link.NewPool()
-	client, closeClient := relay.NewClient()
-	logs, closeLogs := logservice.NewClient(s.Log, s.Stream)
-	n := &Node{settings: s, logger: l, journal: ledger.NewJournal(), meter: newMeter()}
-	n.roster = roster.New(roster.Node{
-		ID:          s.Control,
-		Incarnation: started.UnixMilli(),
-		Region:      s.Region,
-		DataCentre:  s.DataCentre,
-		Gate:        s.Gate,
-	})
-	holder := lease.NewHolder()
-	granter := lease.NewGranter(s.Control, started)
-	n.feed = roster.NewFeed(n.roster, pool, l.Named("roster"), newRandom(), s.Peers)
-	monitor := roster.NewMonitor(n.roster, pool, l.Named("monitor"))
-	follow := follower.New(follower.Options{
-		Clock: time.Now, Logger: l.Named("log"), Journal: n.journal, Roster: n.roster,
-		Log: logs, Caller: pool, Random: newRandom(),
-	})
-	n.gate = gate.New(gate.Options{
-		Clock: time.Now, Logger: l.Named("gate"), Client: client, Services: services{n.journal},
-		Siblings: siblings{roster: n.roster, pool: pool}, OnChange: n.announceTargets,
+	logger.Info("node started", "entry", s.Entry, "gate", s.Gate, "control", s.Control, "service", s.Service,
+		"target", s.Target, "data_centre", s.DataCentre, "store", s.Store)
+	return n, n.leave, nil
+}
+
+func (n *Node) start(ctx context.Context) error {
+	s := n.settings
+	n.current = follower.NewCurrent(n.around.Decode, n.logger.Named("configuration"))
+	n.roster = roster.New(roster.Record{
+		Node: s.Control, Gate: s.Gate, Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
+		Issue: time.Now().UnixMilli(),
 	})
-	n.home = home.New(time.Now, l.Named("home"), s.ClockBound, n.journal, holder)
-	n.keeper = home.NewKeeper(home.KeeperOptions{
-		Clock: time.Now, Logger: l.Named("seats"), States: n.journal, Roster: n.roster, Holder: holder,
-		Log: logs, Members: members{pool: pool, granter: granter},
-		Incarnation: strconv.FormatInt(started.UnixMilli(), 10), Random: newRandom(),
+	pool, closePool := link.NewPool()
+	n.cleanups = append(n.cleanups, closePool)
+	n.spread = roster.NewSpread(n.roster, n.current, pool, n.logger.Named("roster"))
+
+	g, closeGate := gate.New(gate.Options{
+		Service: s.Service, Address: s.Target, Headers: n.around.Headers, Logger: n.logger.Named("gate"),
+		Meter: n.meter, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, Gates: n.gatesOfOwnService,
 	})
-	directory := newDirectory(time.Now, n.roster, s.RemoteBytesPerSecond)
-	n.entry = entry.New(entry.Options{
-		Clock: time.Now, Logger: l.Named("entry"), Client: client, States: n.journal,
-		Nodes: directory, Home: n.home,
-		Self: s.Control, Meter: n.meter, Random: newRandom(),
+	n.gate = g
+	n.cleanups = append(n.cleanups, closeGate)
+	e, closeEntry := entry.New(entry.Options{
+		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.roster, Configurations: n.current,
+		Headers: n.around.Headers, Logger: n.logger.Named("entry"), Meter: n.meter,
 	})
-	n.addGauges(directory)
-
-	servers, closeServers, err := n.listen(pool, granter)
-	if err != nil {
-		return nil, nil, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var loops sync.WaitGroup
-	for _, run := range []func(context.Context){n.feed.Run, monitor.Run, follow.Run, n.gate.Run, n.keeper.Run} {
-		loops.Add(1)
-		go func() {
-			defer loops.Done()
-			run(ctx)
-		}()
-	}
-	stop := func(limit context.Context) error {
-		err := n.leave(limit, servers, cancel, &loops)
-		closeServers()
-		closePool()
-		closeClient()
-		closeLogs()
+	n.cleanups = append(n.cleanups, closeEntry)
+	if err := n.listen(e); err != nil {
 		return err
 	}
-	l.Info("node started", "control", s.Control, "region", s.Region, "data_centre", s.DataCentre)
-	return n, stop, nil
-}
-
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
-
-// httpServers are the listeners whose requests a leaving node lets end.
-type httpServers struct {
-	entry, gate, admin *http.Server
+	n.run(func() { follower.New(n.around.Configurations, n.current, n.logger.Named("configuration")).Run(ctx) })
+	n.run(func() { n.spread.Run(ctx) })
+	n.run(func() { n.meet(ctx) })
+	return nil
 }
 
-func (n *Node) listen(pool *link.Pool, granter *lease.Granter) (httpServers, func(), error) {
-	s := httpServers{
-		entry: newServer(n.entry),
-		gate:  newServer(http.HandlerFunc(n.serveNode)),
-		admin: newServer(n.adminHandler()),
-	}
-	listens := []struct {
-		flag, address string
-		server        *http.Server
-	}{
-		{"entry", n.settings.Entry, s.entry},
-		{"gate", n.settings.Gate, s.gate},
-		{"admin", n.settings.Admin, s.admin},
-	}
-	closeAll := func() {
-		for _, l := range listens {
-			l.server.Close()
-		}
-	}
-	control, err := net.Listen("tcp", n.settings.Control)
+// listen opens the node's addresses, that for callers last.
+func (n *Node) listen(e *entry.Entry) error {
+	s := n.settings
+	control, err := net.Listen("tcp", s.Control)
 	if err != nil {
-		return s, nil, errors.Wrap(err, "--control")
+		return errors.Wrapf(err, "listen on %s", s.Control)
 	}
-	closeControl, err := link.Serve(control, map[string]any{
-		"Roster":  roster.NewService(n.roster, pool),
-		"Journal": follower.NewService(n.journal),
-		"Gate":    &gateService{gate: n.gate},
-		"Lease":   &leaseService{clock: time.Now, journal: n.journal, granter: granter, keeper: n.keeper},
-		"Node":    &nodeService{node: n},
-	})
+	closeControl, err := link.Serve(control, map[string]any{roster.ReceiverName: roster.NewReceiver(n.spread)})
 	if err != nil {
-		return s, nil, err
+		control.Close()
+		return err
 	}
-	for _, l := range listens {
-		listener, err := net.Listen("tcp", l.address)
+	n.cleanups = append(n.cleanups, closeControl)
+	n.meter.observe(n)
+	for _, h := range []struct {
+		address string
+		handler http.Handler
+	}{{s.Ready, n.readiness()}, {s.Admin, n.admin()}, {s.Metrics, n.metrics()}} {
+		closeServer, err := serveHTTP(h.address, h.handler)
 		if err != nil {
-			closeAll()
-			closeControl()
-			return s, nil, errors.Wrap(err, "--"+l.flag)
+			return err
 		}
-		go func() { _ = l.server.Serve(listener) }()
-	}
-	return s, func() { closeAll(); closeControl() }, nil
-}
-
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
-// serveNode serves other nodes: claims for a seat of this node, and requests
-// for its targets.
-func (n *Node) serveNode(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get(outcome.HeaderSeat) != "" {
-		n.entry.ServeHome(w, r)
-		return
-	}
-	n.gate.ServeHTTP(w, r)
-}
-
-// announceTargets publishes the targets that are beside this node.
-func (n *Node) announceTargets(list []roster.Target) {
-	n.roster.Announce(func(r roster.Node) roster.Node {
-		r.Targets = list
-		return r
-	})
-}
-
-// leave takes the node out of the fleet.
-func (n *Node) leave(ctx context.Context, s httpServers, cancel context.CancelFunc, loops *sync.WaitGroup) error {
-	n.mu.Lock()
-	n.leaving = true
-	n.mu.Unlock()
-	n.logger.Info("leaving")
-	n.roster.Announce(func(r roster.Node) roster.Node {
-		r.Status = roster.StatusLeaving
-		return r
-	})
-	handOver, stopHandOver := context.WithTimeout(ctx, handOverTimeout)
-	defer stopHandOver()
-	n.keeper.HandOver(handOver)
-	pause.For(ctx, leaveNotice)
-	n.entry.Leave()
-	n.gate.Leave()
-	pause.For(ctx, leaveNotice)
-	err := s.entry.Shutdown(ctx)
-	if e := s.gate.Shutdown(ctx); err == nil {
-		err = e
+		n.cleanups = append(n.cleanups, closeServer)
 	}
-	cancel()
-	loops.Wait()
-	n.roster.Announce(func(r roster.Node) roster.Node {
-		r.Status = roster.StatusGone
-		r.Targets = nil
-		return r
-	})
-	n.feed.Flush(ctx)
-	if e := s.admin.Shutdown(ctx); err == nil {
-		err = e
+	var closeEntries, closeCallers func()
+	n.entries, closeEntries, err = message.Listen(s.Gate, n.gate.Serve, n.gateLimits, n.logger.Named("gate"))
+	if err != nil {
+		return err
 	}
-	n.logger.Info("left")
+	n.cleanups = append(n.cleanups, closeEntries)
+	n.callers, closeCallers, err = message.Listen(s.Entry, e.Serve, n.callerLimits, n.logger.Named("entry"))
 	if err != nil {
-		return errors.Wrap(err, "shut down")
+		return err
 	}
+	n.cleanups = append(n.cleanups, closeCallers)
 	return nil
 }
 
-func (n *Node) isLeaving() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.leaving
+func (n *Node) run(f func()) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		f()
+	}()
 }
 
-// Status returns what the node knows.
-func (n *Node) Status() Status {
-	s := n.journal.State()
-	return Status{
-		Node:      n.roster.Self(),
-		Version:   s.Version,
-		Next:      s.Next,
-		Ready:     n.journal.IsReady(),
-		Services:  s.Configuration.Services(),
-		Seats:     s.Seats(),
-		Nodes:     n.roster.Nodes(),
-		ClaimKeys: n.home.Keys(),
-	}
+func (n *Node) callerLimits() message.Limits {
+	l := n.current.Configuration().Limits()
+	return message.Limits{HeadBytes: l.HeadBytes, BodyBytes: l.BodyBytes, HeadTimeout: l.HeadTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-func (n *Node) addGauges(d *directory) {
-	n.meter.gauge("cuminwheel_remote_bytes", func() float64 { return float64(d.remoteBytes.Load()) })
-	n.meter.gauge("cuminwheel_configuration_version", func() float64 { return float64(n.journal.State().Version) })
-	n.meter.gauge("cuminwheel_log_next_offset", func() float64 { return float64(n.journal.State().Next) })
-	n.meter.gauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.roster.Nodes())) })
-	n.meter.gauge("cuminwheel_claim_keys", func() float64 { return float64(n.home.Keys()) })
-}
+const (
+	// hopHeadBytes is what the nodes add to a request's head at most.
+	hopHeadBytes = 4 << 10
+	// hopIdleTimeout is above what an entry keeps an idle connection for.
+	hopIdleTimeout = 20 * time.Second
+)
 
-// nodeService answers operators under the name Node.
-type nodeService struct {
-	node *Node
+func (n *Node) gateLimits() message.Limits {
+	l := n.callerLimits()
+	l.HeadBytes += hopHeadBytes
+	l.IdleTimeout = hopIdleTimeout
+	return l
 }
 
-// Status returns what the node knows.
-func (s *nodeService) Status(args StatusArgs, reply *StatusReply) error {
-	state := s.node.journal.State()
-	reply.Version = state.Version
-	reply.Next = state.Next
-	reply.Ready = s.node.journal.IsReady()
-	if args.Brief {
-		return nil
+func (n *Node) gatesOfOwnService() int {
+	count := 0
+	for _, r := range n.roster.Nodes() {
+		if r.Service == n.settings.Service {
+			count++
+		}
 	}
-	data, err := json.Marshal(s.node.Status())
-	reply.Data = data
-	return err
-}
-
-// Decision says what became of a log record.
-func (s *nodeService) Decision(args DecisionArgs, reply *DecisionReply) error {
-	reply.Decision, reply.Known = s.node.journal.Decision(args.ID)
-	return nil
-}
-
-// services gives the gate the rules in force.
-type services struct {
-	journal *ledger.Journal
+	return count
 }
 
-// Service returns the rules of a service.
-func (s services) Service(name string) (configuration.Service, bool) {
-	return s.journal.State().Configuration.Service(name)
+// stop ends all that runs.
+func (n *Node) stop() {
+	n.cancel()
+	for i := len(n.cleanups) - 1; i >= 0; i-- {
+		n.cleanups[i]()
+	}
+	n.tasks.Wait()
 }
--- /dev/null
+++ b/process/node/serve.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// isReady reports whether the node takes callers.
+func (n *Node) isReady() bool {
+	return !n.leaving.Load() && n.current.Configuration().Version > 0
+}
+
+func (n *Node) readiness() http.Handler {
+	e := echo.New()
+	e.GET(n.around.ReadyPath, func(c echo.Context) error {
+		if !n.isReady() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func (n *Node) admin() http.Handler {
+	e := echo.New()
+	e.POST(n.around.AnnouncementPath, echo.WrapHandler(n.around.Announcements(n.gate, n.logger.Named("announcement"))))
+	return e
+}
+
+// status is what /status shows.
+type status struct {
+	Node          string `json:"node"`
+	Ready         bool   `json:"ready"`
+	Leaving       bool   `json:"leaving"`
+	Configuration uint64 `json:"configuration_version"`
+	Nodes         int    `json:"nodes"`
+	GateOpen      bool   `json:"gate_open"`
+	Suspect       bool   `json:"target_suspect"`
+	Busy          int    `json:"target_busy"`
+	Slots         int    `json:"target_slots"`
+}
+
+func (n *Node) metrics() http.Handler {
+	e := echo.New()
+	e.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+		n.meter.set.WritePrometheus(c.Response())
+		metrics.WriteProcessMetrics(c.Response())
+		return nil
+	})
+	e.GET("/status", func(c echo.Context) error {
+		s := n.gate.State()
+		return c.JSON(http.StatusOK, status{
+			Node: n.settings.Name, Ready: n.isReady(), Leaving: n.leaving.Load(),
+			Configuration: n.current.Configuration().Version, Nodes: len(n.roster.Nodes()),
+			GateOpen: s.Open, Suspect: s.Suspect, Busy: s.Busy, Slots: s.Slots,
+		})
+	})
+	return e
+}
+
+const (
+	// httpTimeout bounds reading and answering a request to the node itself.
+	httpTimeout     = 5 * time.Second
+	httpIdleTimeout = time.Minute
+	httpHeadBytes   = 16 << 10
+)
+
+// serveHTTP serves an address until the returned function is called.
+func serveHTTP(address string, h http.Handler) (func(), error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	s := &http.Server{
+		Handler: h, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
+		MaxHeaderBytes: httpHeadBytes, BaseContext: func(net.Listener) context.Context { return context.Background() },
+	}
+	go s.Serve(l)
+	return func() { s.Close() }, nil
+}
--- a/process/roster/doc.go
+++ b/process/roster/doc.go
@@ -1,13 +1,12 @@
-// Package roster tells each node which other nodes and targets there are.
+// Package roster knows the nodes of the fleet: where each one's gate is, and
+// which service stands behind it.
 //
-// Every node owns one record, with its targets in it, and alone raises the
-// record's version. Changed records travel as rumours from node to node,
-// mostly inside a data centre; a digest of the whole roster, exchanged now and
-// then, finds what rumours missed. Nothing is sent while nothing changes but
-// the digests and the heartbeats, and a heartbeat goes only to the few nodes
-// that follow on a hash ring, so that traffic does not grow with the fleet.
+// Nodes meet in the platform's store: each writes its record once and reads the
+// others' once. After that, records travel between nodes. A record that is new
+// to a node is told on at once to a few others at random, and each node compares
+// a digest of its roster with that of another node from time to time, mostly of
+// its own region, since bytes between regions are paid for. The same exchange
+// carries the configuration to nodes that cannot reach the store.
 //
-// A node that misses its heartbeats is declared gone only when other nodes,
-// asked as witnesses, cannot reach it either: a fault that one node sees alone
-// lies on the path to it.
+// Whether a gate takes work is no part of a record: its answers say so.
 package roster
--- a/process/roster/record.go
+++ b/process/roster/record.go
@@ -6,100 +6,42 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Status is the state of a node as its record gives it.
-type Status int
-
-// The states of a node, in the order in which one overrides another at the
-// same version.
-const (
-	StatusAlive Status = iota
-	StatusLeaving
-	StatusGone
-)
-
-func (s Status) String() string {
-	switch s {
-	case StatusAlive:
-		return "alive"
-	case StatusLeaving:
-		return "leaving"
-	}
-	return "gone"
+// Record is what the fleet knows of a node.
+type Record struct {
+	// Node is the address of the node's control calls. It names the node.
+	Node string `json:"node"`
+	// Gate is where the node takes requests for the target beside it.
+	Gate       string `json:"gate"`
+	Service    string `json:"service"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Issue orders the records of one address: the start of the process, in
+	// Unix ms, or a later number if a record with a later one was met.
+	Issue int64 `json:"issue"`
+	// Gone means that the node left for good.
+	Gone bool `json:"gone,omitempty"`
 }
 
-// TargetState is the state of a target as its gate gives it.
-type TargetState int
+func (r Record) valid() bool { return r.Node != "" && r.Gate != "" && r.Service != "" }
 
-// The states of a target.
-const (
-	TargetServing TargetState = iota
-	TargetDraining
-	TargetEjected
-)
-
-func (s TargetState) String() string {
-	switch s {
-	case TargetServing:
-		return "serving"
-	case TargetDraining:
-		return "draining"
+func (r Record) supersedes(old Record) bool {
+	if r.Issue != old.Issue {
+		return r.Issue > old.Issue
 	}
-	return "ejected"
-}
-
-// Target is a server that announced itself to the node beside it.
-type Target struct {
-	Service string      `codec:"service" json:"service"`
-	Address string      `codec:"address" json:"address"`
-	Slots   int         `codec:"slots" json:"slots"`
-	State   TargetState `codec:"state" json:"state"`
+	return r.Gone && !old.Gone
 }
 
-// Node is the record of one node. A Node in a Roster is never changed in
-// place; its owner publishes a copy with a higher version.
-type Node struct {
-	// ID is the control address of the node.
-	ID string `codec:"id" json:"id"`
-	// Incarnation is the start of the node's process, Unix ms.
-	Incarnation int64  `codec:"incarnation" json:"incarnation"`
-	Version     int64  `codec:"version" json:"version"`
-	Status      Status `codec:"status" json:"status"`
-	Region      string `codec:"region" json:"region"`
-	DataCentre  string `codec:"data_centre" json:"data_centre"`
-	// Gate is the address at which the node takes requests for its targets.
-	Gate    string   `codec:"gate" json:"gate"`
-	Targets []Target `codec:"targets" json:"targets"`
-}
-
-// overrides reports whether n is newer than other, a record of the same node.
-func (n Node) overrides(other Node) bool {
-	if n.Incarnation != other.Incarnation {
-		return n.Incarnation > other.Incarnation
+func (r Record) digest() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{r.Node, r.Gate, r.Service, r.DataCentre, r.Region} {
+		d.WriteString(s)
+		d.Write([]byte{0})
 	}
-	if n.Version != other.Version {
-		return n.Version > other.Version
+	var b [9]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(r.Issue))
+	if r.Gone {
+		b[8] = 1
 	}
-	return n.Status > other.Status
-}
-
-// digest covers what overrides compares.
-func (n Node) digest() uint64 {
-	var b [24]byte
-	binary.LittleEndian.PutUint64(b[0:], uint64(n.Incarnation))
-	binary.LittleEndian.PutUint64(b[8:], uint64(n.Version))
-	binary.LittleEndian.PutUint64(b[16:], uint64(n.Status))
-	d := xxhash.New()
-	_, _ = d.WriteString(n.ID)
-	_, _ = d.Write(b[:])
+	d.Write(b[:])
 	return d.Sum64()
 }
-
-// Serves reports whether the node has a target of the service that takes work.
-func (n Node) Serves(service string) bool {
-	for _, t := range n.Targets {
-		if t.Service == service && t.State == TargetServing {
-			return true
-		}
-	}
-	return false
-}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -1,44 +1,58 @@
+// Package settings holds what a node is told at its start, from whatever source.
 package settings
 
 import (
 	"fmt"
 	"net"
-	"regexp"
 	"strings"
 	"time"
 )
 
 // Settings are what a node is told at its start.
 type Settings struct {
-	// Entry, Gate, Control and Admin are the addresses that the node listens
-	// on, each an IP number and a port.
+	// Name is the node's name in its logs.
+	Name string
+	// Entry, Gate, Control, Ready and Admin are the addresses that the node
+	// listens on, each an IP number and a port: for callers, for entries, for
+	// calls of other nodes, for questions whether it takes callers, and for the
+	// target beside it.
 	Entry   string
 	Gate    string
 	Control string
+	Ready   string
 	Admin   string
+	// Metrics is an address for metrics and status.
+	Metrics string
 	// Region and DataCentre say where the VM stands.
 	Region     string
 	DataCentre string
-	// Log is the address of the platform's log service and Stream the name of
-	// the stream.
-	Log    string
-	Stream string
-	// Peers are control addresses of nodes to start from.
-	Peers []string
-	// ClockBound is how far any two clocks of callers and nodes may be apart.
-	ClockBound time.Duration
-	// DrainTimeout bounds how long a leaving node waits for requests in
-	// progress.
-	DrainTimeout time.Duration
-	// RemoteBytesPerSecond is the node's budget on paid links.
-	RemoteBytesPerSecond int
+	// Service and Target are the service and address of the target beside the
+	// node.
+	Service string
+	Target  string
+	// Store is the address of the platform's store.
+	Store string
+	// Grace is how long after SIGTERM the process may run.
+	Grace time.Duration
+	// RetryRatio and RetrySlack bound the fleet's repeated sends to a service:
+	// a share of its requests, and a number besides.
+	RetryRatio float64
+	RetrySlack float64
+	// MemoryBytes is the process's limit; 0 sets none.
+	MemoryBytes int64
 }
 
+// Defaults of settings that may be left out.
+const (
+	DefaultGrace      = 30 * time.Second
+	DefaultRetryRatio = 0.2
+	DefaultRetrySlack = 60
+)
+
 // Fault is one wrong setting.
 type Fault struct {
-	// Flag is the name of the setting on the command line.
-	Flag   string
-	Remedy string
+	Setting string
+	Remedy  string
 }
 
 // FaultsError lists all wrong settings.
@@ -49,59 +63,51 @@
 func (e *FaultsError) Error() string {
 	lines := make([]string, len(e.Faults))
 	for i, f := range e.Faults {
-		lines[i] = fmt.Sprintf("--%s: %s", f.Flag, f.Remedy)
+		lines[i] = f.Setting + ": " + f.Remedy
 	}
 	return strings.Join(lines, "\n")
 }
 
-// Bounds of the settings.
-const (
-	minClockBound   = 10 * time.Millisecond
-	maxClockBound   = 30 * time.Second
-	maxDrainTimeout = time.Hour
-)
-
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]*[a-z0-9])?$`)
-
 // Check returns a *FaultsError that lists every fault, or nil.
 func (s Settings) Check() error {
 	var faults []Fault
-	add := func(flag, remedy string) { faults = append(faults, Fault{Flag: flag, Remedy: remedy}) }
-	listens := []struct{ flag, value string }{
-		{"entry", s.Entry}, {"gate", s.Gate}, {"control", s.Control}, {"admin", s.Admin}, {"log", s.Log},
+	add := func(setting, remedy string) { faults = append(faults, Fault{Setting: setting, Remedy: remedy}) }
+	addresses := []struct {
+		setting, value string
+		listens        bool
+	}{
+		{"entry", s.Entry, true}, {"gate", s.Gate, true}, {"control", s.Control, true}, {"ready", s.Ready, true},
+		{"admin", s.Admin, true}, {"metrics", s.Metrics, true}, {"target", s.Target, false}, {"store", s.Store, false},
 	}
-	seen := map[string]string{}
-	for _, l := range listens {
-		if err := checkAddress(l.value); err != nil {
-			add(l.flag, err.Error())
+	taken := map[string]string{}
+	for _, a := range addresses {
+		if err := checkAddress(a.value); err != nil {
+			add(a.setting, err.Error())
 			continue
 		}
-		if other, taken := seen[l.value]; taken {
-			add(l.flag, fmt.Sprintf("%s is the address of --%s already; give each its own port", l.value, other))
+		if other := taken[a.value]; other != "" && a.listens {
+			add(a.setting, fmt.Sprintf("%s is the address of %s already; give each its own port", a.value, other))
 		}
-		seen[l.value] = l.flag
-	}
-	for _, p := range s.Peers {
-		if err := checkAddress(p); err != nil {
-			add("peer", err.Error())
+		if a.listens {
+			taken[a.value] = a.setting
 		}
 	}
-	names := []struct{ flag, value string }{
-		{"region", s.Region}, {"data-centre", s.DataCentre}, {"stream", s.Stream},
+	names := []struct{ setting, value string }{
+		{"region", s.Region}, {"data-centre", s.DataCentre}, {"service", s.Service},
 	}
 	for _, n := range names {
-		if !namePattern.MatchString(n.value) {
-			add(n.flag, fmt.Sprintf("%q is no name; use small letters, digits, '_' or '-'", n.value))
+		if n.value == "" {
+			add(n.setting, "give its name")
 		}
 	}
-	if s.ClockBound < minClockBound || s.ClockBound > maxClockBound {
-		add("clock-bound", fmt.Sprintf("give a duration from %s to %s", minClockBound, maxClockBound))
+	if s.Grace <= 0 {
+		add("grace", "give a duration above 0")
 	}
-	if s.DrainTimeout <= 0 || s.DrainTimeout > maxDrainTimeout {
-		add("drain-timeout", fmt.Sprintf("give a duration above 0 and up to %s", maxDrainTimeout))
+	if s.RetryRatio < 0 || s.RetryRatio > 1 {
+		add("retry-ratio", "give a number from 0 to 1")
 	}
-	if s.RemoteBytesPerSecond < 0 {
-		add("remote-bytes", "give a number of bytes a second, 0 or more")
+	if s.RetrySlack < 0 {
+		add("retry-slack", "give a number from 0")
 	}
 	if len(faults) == 0 {
 		return nil
--- /dev/null
+++ b/request/head/head.go
@@ -0,0 +1,41 @@
+// Package head holds what the headers of requests and answers say, in types
+// that do not depend on how the headers are named.
+package head
+
+import "time"
+
+// Caller is what a caller's request says.
+type Caller struct {
+	// ID names the request; each attempt of a caller has its own.
+	ID string
+	// Deadline is when the caller stops waiting; zero if it does not say.
+	Deadline time.Time
+}
+
+// ToTarget is what a target is told with a request.
+type ToTarget struct {
+	ID       string
+	Deadline time.Time
+	// Instance is the start of the target that the request is for; another one
+	// at the same address does not run it. Empty names none.
+	Instance string
+	// CallerService is the service on whose VM the request began.
+	CallerService string
+}
+
+// OfTarget is what a target's answer says.
+type OfTarget struct {
+	// Signed means that the answer bears the target's proof of origin.
+	Signed bool
+	// NotRun means that the target did not run the request.
+	NotRun bool
+	// Load is what the target says of its load, if it does.
+	Load *Load
+}
+
+// Load is a target's own account of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/message"
 )
 
 // Outcome is what became of a request.
@@ -15,7 +17,7 @@
 const (
 	// Answered means that the whole answer follows.
 	Answered Outcome = "answered"
-	// NotRun means that no target began the request.
+	// NotRun means that no target began the request, and none will.
 	NotRun Outcome = "not_run"
 	// Unknown means that a target may have run the request.
 	Unknown Outcome = "unknown"
@@ -26,55 +28,36 @@
 
 // The codes of refusals; the request was not run.
 const (
-	CodeNoRoute         Code = "no_route"
-	CodeMethod          Code = "method_not_allowed"
-	CodeBadRequest      Code = "bad_request"
-	CodeBodyTooLarge    Code = "body_too_large"
-	CodeCustomerLimit   Code = "customer_limit"
-	CodeNotInTime       Code = "not_in_time"
-	CodeNoTarget        Code = "no_target"
-	CodeLeaving         Code = "leaving"
-	CodeNotReady        Code = "not_ready"
-	CodeClaimKeyMissing Code = "claim_key_missing"
-	CodeClaimKeyFormat  Code = "claim_key_format"
-	CodeClaimKeyEarly   Code = "claim_key_too_early"
-	CodeClaimMemoryFull Code = "claim_memory_full"
-	CodeClaimReused     Code = "claim_key_reused"
-	CodeNoSeat          Code = "no_claim_seat"
-	CodeSeatMoved       Code = "claim_seat_moved"
+	CodeNoRoute      Code = "no_route"
+	CodeBadRequest   Code = "bad_request"
+	CodeBodyTooLarge Code = "body_too_large"
+	CodeNotReady     Code = "not_ready"
+	CodeNoTarget     Code = "no_target"
+	CodeDraining     Code = "draining"
+	CodeSuspect      Code = "suspect"
+	CodeFull         Code = "full"
+	CodeNotInTime    Code = "not_in_time"
+	CodeRetryBudget  Code = "retry_budget"
+	CodeShed         Code = "shed"
+	CodeMisdirected  Code = "misdirected"
+	CodeUnreachable  Code = "unreachable"
+	CodeCallerGone   Code = "caller_gone"
 )
 
 // The codes of failures; the outcome is unknown.
 const (
-	CodeTimeout         Code = "timeout"
-	CodeTargetFailed    Code = "target_failed"
-	CodeSlowGate        Code = "slow_gate"
-	CodeAnswerCut       Code = "answer_cut_short"
-	CodeAnswerCrossed   Code = "answer_crossed"
-	CodeGateLost        Code = "gate_lost"
-	CodeClaimKeyOld     Code = "claim_key_too_old"
-	CodeClaimUnsure     Code = "claim_outcome_unknown"
-	CodeSeatUnreachable Code = "claim_seat_unreachable"
+	CodeTimeout       Code = "timeout"
+	CodeTargetFailed  Code = "target_failed"
+	CodeAnswerCut     Code = "answer_cut_short"
+	CodeAnswerForeign Code = "answer_foreign"
+	CodeUnsigned      Code = "answer_unsigned"
+	CodeGateLost      Code = "gate_lost"
 )
 
-// Headers of the protocol with callers and between nodes.
+// Headers of the product's own answers.
 const (
-	HeaderOutcome   = "Cuminwheel-Outcome"
-	HeaderCode      = "Cuminwheel-Code"
-	HeaderRequestID = "Cuminwheel-Request-Id"
-	HeaderCustomer  = "Cuminwheel-Customer"
-	// HeaderTimeout is a caller's own bound in ms from the arrival.
-	HeaderTimeout = "Cuminwheel-Timeout-Ms"
-	// HeaderDeadline is the absolute deadline between nodes, Unix ms.
-	HeaderDeadline = "Cuminwheel-Deadline"
-	HeaderAttempt  = "Cuminwheel-Attempt"
-	HeaderService  = "Cuminwheel-Service"
-	// HeaderSeat is the claim seat and its epoch between nodes.
-	HeaderSeat = "Cuminwheel-Seat"
-	// HeaderKey is the caller's idempotency key.
-	HeaderKey = "Idempotency-Key"
-	// HeaderRetryAfterMillis is Retry-After in ms.
-	HeaderRetryAfterMillis = "Cuminwheel-Retry-After-Ms"
+	HeaderOutcome = "Cuminwheel-Outcome"
+	HeaderCode    = "Cuminwheel-Code"
 )
 
 // Problem is a refusal or a failure. It is an error.
@@ -92,13 +75,31 @@
 }
 
 // Refused returns a problem that says the request was not run.
-func Refused(code Code, status int, format string, args ...any) *Problem {
-	return &Problem{Outcome: NotRun, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
+func Refused(code Code, format string, args ...any) *Problem {
+	return &Problem{Outcome: NotRun, Code: code, Status: statusOf(code), Detail: fmt.Sprintf(format, args...)}
 }
 
 // Failed returns a problem whose outcome is unknown.
-func Failed(code Code, status int, format string, args ...any) *Problem {
-	return &Problem{Outcome: Unknown, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
+func Failed(code Code, format string, args ...any) *Problem {
+	return &Problem{Outcome: Unknown, Code: code, Status: statusOf(code), Detail: fmt.Sprintf(format, args...)}
+}
+
+// statusOf returns the status that callers get. 503 promises that the request
+// was not run; 502 and 504 promise nothing.
+func statusOf(code Code) int {
+	switch code {
+	case CodeNoRoute:
+		return http.StatusNotFound
+	case CodeBadRequest:
+		return http.StatusBadRequest
+	case CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeTimeout:
+		return http.StatusGatewayTimeout
+	case CodeTargetFailed, CodeAnswerCut, CodeAnswerForeign, CodeUnsigned, CodeGateLost:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
 }
 
 // WithRetryAt returns the problem with a time at which to come back.
@@ -109,66 +110,37 @@
 
 // document is the body of a problem.
 type document struct {
-	Type             string  `json:"type"`
-	Title            string  `json:"title"`
-	Status           int     `json:"status"`
-	Detail           string  `json:"detail"`
-	Code             Code    `json:"code"`
-	Outcome          Outcome `json:"outcome"`
-	RequestID        string  `json:"request_id"`
-	RetryAfterMillis int64   `json:"retry_after_ms,omitempty"`
+	Type      string  `json:"type"`
+	Title     string  `json:"title"`
+	Status    int     `json:"status"`
+	Detail    string  `json:"detail"`
+	Code      Code    `json:"code"`
+	Outcome   Outcome `json:"outcome"`
+	RequestID string  `json:"request_id"`
 }
 
-// Write sends the problem as the response to a request.
-func (p *Problem) Write(w http.ResponseWriter, requestID string, now time.Time) {
-	d := document{
-		Type:      "about:blank",
-		Title:     http.StatusText(p.Status),
-		Status:    p.Status,
-		Detail:    p.Detail,
-		Code:      p.Code,
-		Outcome:   p.Outcome,
-		RequestID: requestID,
+// minRetryAfter keeps callers from coming back at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// Answer returns the problem as the answer to a request. Retry-After is in
+// seconds with a fraction.
+func (p *Problem) Answer(requestID string, now time.Time) *message.Answer {
+	h := http.Header{
+		"Content-Type": {"application/problem+json"},
+		HeaderOutcome:  {string(p.Outcome)},
+		HeaderCode:     {string(p.Code)},
 	}
-	h := w.Header()
 	if !p.RetryAt.IsZero() {
-		wait := max(0, p.RetryAt.Sub(now))
-		d.RetryAfterMillis = wait.Milliseconds()
-		seconds := (wait + time.Second - 1) / time.Second
-		h.Set("Retry-After", strconv.FormatInt(int64(max(1, seconds)), 10))
-		h.Set(HeaderRetryAfterMillis, strconv.FormatInt(d.RetryAfterMillis, 10))
+		wait := max(minRetryAfter, p.RetryAt.Sub(now))
+		h["Retry-After"] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
 	}
-	body, err := json.Marshal(d)
+	body, err := json.Marshal(document{
+		Type: "about:blank", Title: http.StatusText(p.Status), Status: p.Status, Detail: p.Detail,
+		Code: p.Code, Outcome: p.Outcome, RequestID: requestID,
+	})
 	if err != nil {
-		body = nil
-	}
-	h.Set("Content-Type", "application/problem+json")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	h.Set(HeaderOutcome, string(p.Outcome))
-	h.Set(HeaderCode, string(p.Code))
-	h.Set(HeaderRequestID, requestID)
-	w.WriteHeader(p.Status)
-	_, _ = w.Write(body)
-}
-
-// FromHeader returns the problem that a peer's response carries in its
-// headers, or nil for an answer. A response without a known outcome counts as
-// a failure whose outcome is unknown.
-func FromHeader(h http.Header, status int, now time.Time) *Problem {
-	p := &Problem{
-		Outcome: Outcome(h.Get(HeaderOutcome)),
-		Code:    Code(h.Get(HeaderCode)),
-		Status:  status,
-	}
-	switch p.Outcome {
-	case Answered:
-		return nil
-	case NotRun, Unknown:
-	default:
-		return Failed(CodeGateLost, http.StatusBadGateway, "the gate's response names no outcome")
-	}
-	if ms, err := strconv.ParseInt(h.Get(HeaderRetryAfterMillis), 10, 64); err == nil {
-		p.RetryAt = now.Add(time.Duration(ms) * time.Millisecond)
+		// A document of strings and numbers always encodes.
+		panic(err)
 	}
-	return p
+	return &message.Answer{Status: p.Status, Header: h, Body: body}
 }
--- a/version/configuration/doc.go
+++ b/version/configuration/doc.go
@@ -1,8 +1,7 @@
-// Package configuration defines what operators publish: services with their
-// routes and floors, and customers with their limits.
+// Package configuration holds what operators have published: services, the
+// routes to them and the limits of callers.
 //
-// A Change is what one publish carries: entries to put and names to remove.
-// A Configuration is the immutable result of all accepted changes. Each entry
-// remembers the version (the log offset) that last touched it, so that two
-// operators conflict only when they touch the same entry.
+// A Configuration is immutable and has a version. Of two configurations the one
+// with the higher version is in force, whatever way or order they come in. Draft
+// is its form in the product's own files.
 package configuration
