entry, roster, follower: hedge slow targets, spread configurations at once

Change: (1) the second target is asked while the first works on, the first answer counts. (2) a new configuration makes a node compare with three others; a wait that others have overtaken by 1 s ends; after an error the next call is a short one. Ruled out: shorter waits at the store (calls are priced, and the gap remains).

--- a/cmd/cuminwheel/main.go
+++ b/cmd/cuminwheel/main.go
@@ -63,6 +63,10 @@
 		},
 		Commands: []*cli.Command{
 			nodeCommand(),
+			publishCommand(),
+			checkCommand(),
+			statusCommand(),
+			standinCommand(),
 			experimentCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/cuminwheel/status.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the state of a node",
+		Flags: []cli.Flag{textFlag("metrics", "127.0.0.1:7005", "metrics address of the node, IP:port")},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.String("metrics")+"/status", nil)
+			if err != nil {
+				return usageError(err)
+			}
+			res, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return errors.Wrap(err, "ask the node")
+			}
+			defer res.Body.Close()
+			_, err = io.Copy(c.Root().Writer, res.Body)
+			return err
+		},
+	}
+}
+
+const statusTimeout = 5 * time.Second
--- a/connection/link/pool.go
+++ b/connection/link/pool.go
@@ -50,12 +50,23 @@
 	return p, p.close
 }
 
-// Call calls a method of the peer at address. ctx must carry a deadline.
+// Call calls a method of the peer at address. ctx must carry a deadline. A call
+// on a kept connection that turns out to be broken is made again on a new one,
+// so methods must bear being called twice.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
-	c, err := p.client(ctx, address)
-	if err != nil {
-		return err
+	for {
+		c, isKept, err := p.client(ctx, address)
+		if err != nil {
+			return err
+		}
+		err = p.call(ctx, c, address, method, args, reply)
+		if !isKept || ctx.Err() != nil || !errors.Is(err, ErrNoReply) {
+			return err
+		}
 	}
+}
+
+func (p *Pool) call(ctx context.Context, c *rpc.Client, address, method string, args, reply any) error {
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -74,21 +85,21 @@
 	return errors.Wrapf(ErrNoReply, "%s: %v", method, call.Error)
 }
 
-func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, address string) (c *rpc.Client, isKept bool, err error) {
 	p.mu.Lock()
 	known, ok := p.peers[address]
 	if ok {
 		known.idle.Reset(idleTimeout)
 		p.mu.Unlock()
-		return known.client, nil
+		return known.client, true, nil
 	}
 	p.mu.Unlock()
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(ErrUnreachable, err.Error())
+		return nil, false, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	return p.keep(address, conn), nil
+	return p.keep(address, conn), false, nil
 }
 
 // keep stores the connection unless another call made one first.
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -24,8 +24,10 @@
 const (
 	// finalSlack is how long after the deadline a gate's last word is awaited.
 	finalSlack = 80 * time.Millisecond
+	// maxAsks bounds how many gates one request asks.
+	maxAsks = 24
 	// patienceShare of the time left is given to a target before an idempotent
-	// request is sent to another one.
+	// request is sent to another one as well.
 	patienceShare = 0.5
 	// roundPause lies between two rounds through the passes, and roundShare of
 	// the target latency is spent on rounds at most: a request that no gate
@@ -36,39 +38,67 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// journey is what has become of a request so far.
+// journey is what has become of a request so far. One goroutine uses it.
 type journey struct {
-	call  *call
-	began time.Time
-	// asked counts gates that were asked, sent those that were sent the request.
+	call *call
+	// asked counts gates that were asked, sent those that were sent the request
+	// and failed it.
 	asked int
 	sent  int
+	// open counts the asks without a result yet.
+	open    int
+	results chan result
 	// last is the last problem, unsure the last whose outcome is unknown.
 	last   *outcome.Problem
 	unsure *outcome.Problem
 	// retryAt is the earliest time at which a gate expects room.
 	retryAt time.Time
+	answer  *message.Answer
+}
+
+// result is what became of one ask.
+type result struct {
+	answer  *message.Answer
+	problem *outcome.Problem
+	// slow means that there is no result yet, and that the request may be sent
+	// to another target as well.
+	slow bool
 }
 
 // dispatch asks gates until one gives the request's outcome.
 func (e *Entry) dispatch(ctx context.Context, c *call) (*message.Answer, int, *outcome.Problem) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(finalSlack))
 	defer cancel()
-	j := &journey{call: c, began: time.Now()}
+	// Each ask has one result and may be slow once before.
+	j := &journey{call: c, results: make(chan result, 2*maxAsks)}
+	e.rounds(ctx, j)
+	// A target that is still at work may answer yet.
+	for j.answer == nil && j.open > 0 {
+		j.await()
+	}
+	if j.answer != nil {
+		return j.answer, j.asked, nil
+	}
+	return nil, j.asked, j.conclude()
+}
+
+// rounds goes through the passes until the request's outcome is certain or
+// nothing is left to try.
+func (e *Entry) rounds(ctx context.Context, j *journey) {
+	c := j.call
 	giveUp := c.in.Arrived.Add(time.Duration(roundShare * float64(c.targetLatency())))
 	for {
 		for _, p := range passes {
-			if a, done := e.pass(ctx, j, p); done {
-				return a, j.asked, j.conclude()
+			if e.pass(ctx, j, p) {
+				return
 			}
 		}
-		now := time.Now()
-		if now.After(giveUp) || len(e.directory.candidates(c.service)) == 0 {
-			return nil, j.asked, j.conclude()
+		if time.Now().After(giveUp) || j.open > 0 || len(e.directory.candidates(c.service)) == 0 {
+			return
 		}
 		select {
 		case <-ctx.Done():
-			return nil, j.asked, j.conclude()
+			return
 		case <-time.After(roundPause):
 		}
 	}
@@ -82,42 +112,58 @@
 	return c.deadline.Sub(c.in.Arrived)
 }
 
-// pass asks the gates of one pass. done means that the request's outcome is
-// certain: an answer, or nothing more to try.
-func (e *Entry) pass(ctx context.Context, j *journey, p pass) (a *message.Answer, done bool) {
+// pass asks the gates of one pass, one after the other. done means that the
+// request's outcome is certain, or that no further gate may be asked.
+func (e *Entry) pass(ctx context.Context, j *journey, p pass) (done bool) {
 	candidates := e.directory.candidates(j.call.service)
-	asked := map[int]bool{}
+	tried := map[int]bool{}
 	for range p.asks {
 		now := time.Now()
-		if !now.Before(j.call.deadline) || ctx.Err() != nil {
-			return nil, true
+		if !now.Before(j.call.deadline) || ctx.Err() != nil || j.asked >= maxAsks {
+			return true
 		}
 		views := make([]view, len(candidates))
 		for i, c := range candidates {
 			views[i] = c.view(now)
 		}
-		mayFail := j.mayFail()
-		i := p.choose(views, func(i int) bool { return asked[i] }, request{mayFail: mayFail}, rand.Float64)
+		i := p.choose(views, func(i int) bool { return tried[i] }, request{mayFail: j.mayFail()}, rand.Float64)
 		if i < 0 {
-			return nil, false
-		}
-		asked[i] = true
-		answer, problem := e.ask(ctx, j, candidates[i], p, views[i])
-		if problem == nil {
-			j.unsure, j.last = nil, nil
-			return answer, true
+			return false
 		}
-		if !j.goesOn(problem) {
-			return nil, true
+		tried[i] = true
+		j.asked++
+		j.open++
+		go e.ask(ctx, *j, candidates[i], p, views[i])
+		if j.await() {
+			return true
 		}
 	}
-	return nil, false
+	return false
+}
+
+// await waits for a result and reports whether no further gate may be asked.
+func (j *journey) await() (done bool) {
+	r := <-j.results
+	if r.slow {
+		return false
+	}
+	return !j.take(r)
+}
+
+// take records a result and reports whether another gate may be asked.
+func (j *journey) take(r result) (goesOn bool) {
+	j.open--
+	if r.problem == nil {
+		j.answer = r.answer
+		return false
+	}
+	return j.goesOn(r.problem)
 }
 
 // mayFail reports whether the request can be lost to one target and still be
 // sent to another.
 func (j *journey) mayFail() bool {
-	return j.call.route.Idempotent && j.sent+1 < j.call.route.MaxAttempts
+	return j.call.route.Idempotent && j.sent+j.open+1 < j.call.route.MaxAttempts
 }
 
 // goesOn records a problem and reports whether another gate may be asked.
@@ -136,7 +182,7 @@
 			return false
 		}
 	}
-	return j.sent < j.call.route.MaxAttempts
+	return j.sent+j.open < j.call.route.MaxAttempts
 }
 
 // conclude returns the problem that the caller gets, or nil after an answer. A
@@ -156,8 +202,6 @@
 			return j.last.WithRetryAt(retryAt)
 		}
 		return j.last.WithRetryAt(now.Add(notReadyRetry))
-	case j.answered():
-		return nil
 	case !now.Before(j.call.deadline):
 		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
 	}
@@ -165,22 +209,18 @@
 		WithRetryAt(now.Add(time.Second))
 }
 
-// answered reports whether an answer was returned.
-func (j *journey) answered() bool { return j.asked > 0 && j.last == nil }
-
-// ask sends the request to one gate.
-func (e *Entry) ask(ctx context.Context, j *journey, to *candidate, p pass, v view) (*message.Answer, *outcome.Problem) {
+// ask sends the request to one gate and reports the result. j is a copy.
+func (e *Entry) ask(ctx context.Context, j journey, to *candidate, p pass, v view) {
 	now := time.Now()
 	c := j.call
-	waitUntil := now.Add(time.Duration(p.waitShare * float64(c.targetLatency())))
 	ask := hop.Ask{
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
-		Priority: c.route.Priority, Repeat: j.sent > 0, MayFail: j.mayFail(),
-		Deadline: c.deadline, WaitUntil: waitUntil,
+		Priority: c.route.Priority, Repeat: j.sent > 0 || j.open > 1,
+		Deadline: c.deadline, WaitUntil: now.Add(time.Duration(p.waitShare * float64(c.targetLatency()))),
 	}
-	j.asked++
+	ask.MayFail = c.route.Idempotent && j.sent+j.open < c.route.MaxAttempts
 	to.began()
-	a, problem := e.exchange(ctx, c, to, ask)
+	a, problem := e.exchange(ctx, c, to, ask, func() { j.results <- result{slow: true} })
 	to.ended()
 	code := outcome.Code("answered")
 	if problem != nil {
@@ -191,11 +231,12 @@
 		"tier", to.tier, "load", v.load, "suspect", v.suspect, "belief_age_ms", min(v.heardAgo, time.Hour).Milliseconds(),
 		"ask", j.asked, "repeat", ask.Repeat, "may_fail", ask.MayFail, "outcome", code,
 		"took_ms", time.Since(now).Milliseconds())
-	return a, problem
+	j.results <- result{answer: a, problem: problem}
 }
 
-// exchange sends the request once the gate has granted it a slot.
-func (e *Entry) exchange(ctx context.Context, c *call, to *candidate, ask hop.Ask) (*message.Answer, *outcome.Problem) {
+// exchange sends the request once the gate has granted it a slot. slow is called
+// if the target takes long over a request that may be sent to another as well.
+func (e *Entry) exchange(ctx context.Context, c *call, to *candidate, ask hop.Ask, slow func()) (*message.Answer, *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, err := to.pool.Get(ctx, freshHop)
@@ -217,7 +258,7 @@
 		silence.Stop()
 		if ask.MayFail {
 			left := time.Until(c.deadline)
-			patience = time.AfterFunc(time.Duration(patienceShare*float64(left)), func() { cancel(errImpatient) })
+			patience = time.AfterFunc(time.Duration(patienceShare*float64(left)), slow)
 		}
 	})
 	if patience != nil {
@@ -256,8 +297,6 @@
 			return outcome.Failed(outcome.CodeCallerGone, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerGone, "the caller left")
-	case errors.Is(cause, errImpatient):
-		return outcome.Failed(outcome.CodeTimeout, "%v", errImpatient)
 	case errors.Is(cause, context.DeadlineExceeded) && granted:
 		return outcome.Failed(outcome.CodeTimeout, "the deadline has passed")
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -156,8 +156,5 @@
 	return p
 }
 
-// errors of an ask that ended by the entry's own decision.
-var (
-	errSilent    = errors.New("the gate gave no sign of life")
-	errImpatient = errors.New("the target took too long for a request that can be sent again")
-)
+// errSilent ends an ask whose gate said nothing.
+var errSilent = errors.New("the gate gave no sign of life")
--- a/process/follower/current.go
+++ b/process/follower/current.go
@@ -19,11 +19,13 @@
 
 	mu      sync.Mutex
 	encoded []byte
+	// changed is closed when another configuration comes into force.
+	changed chan struct{}
 }
 
 // NewCurrent returns a Current without a configuration.
 func NewCurrent(decode Decode, logger hclog.Logger) *Current {
-	c := &Current{decode: decode, logger: logger}
+	c := &Current{decode: decode, logger: logger, changed: make(chan struct{})}
 	c.inUse.Store(&configuration.Configuration{})
 	return c
 }
@@ -39,6 +41,14 @@
 	return c.Configuration().Version, c.encoded
 }
 
+// Changed returns a channel that is closed when another configuration comes into
+// force.
+func (c *Current) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
 // Offer puts an encoded configuration in force if it is newer.
 func (c *Current) Offer(encoded []byte, source string) error {
 	offered, err := c.decode(encoded)
@@ -53,6 +63,8 @@
 	}
 	c.encoded = encoded
 	c.inUse.Store(&offered)
+	close(c.changed)
+	c.changed = make(chan struct{})
 	c.logger.Info("configuration in force", "version", offered.Version, "before", before, "source", source,
 		"routes", offered.RouteCount())
 	return nil
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -31,8 +31,15 @@
 	// batchPause lets configurations that are published in quick succession
 	// come with one call.
 	batchPause = 400 * time.Millisecond
+	// overtakenAfter is how long a configuration that another node handed on may
+	// be missing from the source's answers before the wait for them counts as
+	// dead: a connection may have gone silent.
+	overtakenAfter = time.Second
 )
 
+// errOvertaken ends a wait that another node's configuration has overtaken.
+var errOvertaken = errors.New("another node had a newer configuration")
+
 // Follower takes a source's configurations over into Current.
 type Follower struct {
 	source  Source
@@ -62,6 +69,9 @@
 			if pause == 0 {
 				f.logger.Warn("store lost", "reason", err, "position", position)
 			}
+			// The next call is a short one, which tells soon whether the store
+			// answers again.
+			position = -1
 			pause = min(lastPause, max(firstPause, 2*pause))
 			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
 			continue
@@ -86,7 +96,10 @@
 		}
 		return next, false, err
 	}
-	list, next, err := f.source.Next(ctx, position)
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go f.watch(waiting, cancel)
+	list, next, err := f.source.Next(waiting, position)
 	if err != nil {
 		return position, false, err
 	}
@@ -96,6 +109,18 @@
 	return next, len(list) > 0, nil
 }
 
+// watch ends a wait for the source some time after a configuration has come into
+// force from elsewhere.
+func (f *Follower) watch(waiting context.Context, cancel context.CancelCauseFunc) {
+	select {
+	case <-waiting.Done():
+		return
+	case <-f.current.Changed():
+	}
+	sleep(waiting, overtakenAfter)
+	cancel(errOvertaken)
+}
+
 func (f *Follower) offer(encoded []byte) {
 	if err := f.current.Offer(encoded, "store"); err != nil {
 		f.logger.Error("a published configuration cannot be used; the one in force stays", "reason", err)
--- a/process/roster/spread.go
+++ b/process/roster/spread.go
@@ -15,6 +15,8 @@
 	Newest() (version uint64, encoded []byte)
 	// Offer takes in an encoded configuration if it is newer.
 	Offer(encoded []byte, source string) error
+	// Changed returns a channel that is closed when another one is in force.
+	Changed() <-chan struct{}
 }
 
 // Caller calls a method of another node.
@@ -46,7 +48,10 @@
 	// compareInterval is the mean time between two comparisons that a node
 	// begins. A node without the store learns a configuration within the 2.5 s
 	// that operators allow if one of two comparisons meets a node that has it.
-	compareInterval = 1500 * time.Millisecond
+	compareInterval = time.Second
+	// versionDelay is how long after a new configuration a node compares with
+	// others: by then nearly all have it from the store.
+	versionDelay = 300 * time.Millisecond
 	// remoteShare of the comparisons cross regions.
 	remoteShare = 0.1
 	// fanout is how many nodes are told of news at once; with 3, news reaches
@@ -71,18 +76,34 @@
 // Run compares and tells until ctx ends.
 func (s *Spread) Run(ctx context.Context) {
 	for {
+		changed := s.configurations.Changed()
 		wait := time.Duration((0.5 + rand.Float64()) * float64(compareInterval))
 		select {
 		case <-ctx.Done():
 			return
 		case news := <-s.news:
 			s.tell(ctx, news)
+		case <-changed:
+			// A node that the store does not reach learns of it here.
+			for range fanout {
+				go func() {
+					pause(ctx, time.Duration((0.5+rand.Float64())*float64(versionDelay)))
+					s.compare(ctx)
+				}()
+			}
 		case <-time.After(wait):
 			s.compare(ctx)
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // Merge takes in records and tells news on.
 func (s *Spread) Merge(records []Record) {
 	news := s.roster.Merge(records)
--- /dev/null
+++ b/standin/caller/report.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+)
+
+// Report says what callers saw.
+type Report struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	// Errors are whole answers with an error status of the target.
+	Errors     int `json:"errors"`
+	NotRun     int `json:"not_run"`
+	Unknown    int `json:"unknown"`
+	NoResponse int `json:"no_response"`
+	NotSent    int `json:"not_sent"`
+	// Foreign are answers that were short or belonged to another request.
+	Foreign int            `json:"foreign"`
+	Codes   map[string]int `json:"codes"`
+
+	P50Millis float64 `json:"p50_ms"`
+	P99Millis float64 `json:"p99_ms"`
+	MaxMillis float64 `json:"max_ms"`
+
+	Claims int `json:"claims"`
+	// Doubled claims ran more than once.
+	Doubled int `json:"doubled"`
+	// Lost requests were answered and ran nowhere.
+	Lost int `json:"lost"`
+	// FalseNotRun requests were said not to have run and ran.
+	FalseNotRun int `json:"false_not_run"`
+}
+
+// IsSound reports whether nothing was doubled, lost, foreign or falsely said
+// not to have run.
+func (r Report) IsSound() bool {
+	return r.Doubled == 0 && r.Lost == 0 && r.Foreign == 0 && r.FalseNotRun == 0
+}
+
+const microsPerMilli = 1000
+
+func (l *Load) finish() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.report
+	r.P50Millis = float64(l.hist.ValueAtQuantile(50)) / microsPerMilli
+	r.P99Millis = float64(l.hist.ValueAtQuantile(99)) / microsPerMilli
+	r.MaxMillis = float64(l.hist.Max()) / microsPerMilli
+	return r
+}
+
+// Audit adds to the report what the targets' records of what ran show.
+func (l *Load) Audit(r Report, ran map[string]int) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, f := range l.told {
+		if f.claim {
+			r.Claims++
+		}
+		n := ran[id]
+		switch {
+		case n > 1 && f.claim:
+			r.Doubled++
+		case n == 0 && f.answered:
+			r.Lost++
+		case n > 0 && f.notRun:
+			r.FalseNotRun++
+		}
+	}
+	return r
+}
+
+// ReadRan adds up the files in which the targets noted the requests that began.
+func ReadRan(files []string) (map[string]int, error) {
+	sum := map[string]int{}
+	for _, name := range files {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "read counts")
+		}
+		for _, key := range strings.Fields(string(raw)) {
+			sum[key]++
+		}
+	}
+	return sum, nil
+}
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"requests sent", r.Sent}, {"whole answers", r.Answered}, {"target errors", r.Errors},
+		{"refused, not run", r.NotRun}, {"failed, outcome unknown", r.Unknown},
+		{"no response", r.NoResponse}, {"not sent (caller's bound)", r.NotSent},
+		{"short or foreign answers", r.Foreign},
+		{"p50 ms", r.P50Millis}, {"p99 ms", r.P99Millis}, {"max ms", r.MaxMillis},
+		{"claims", r.Claims}, {"claims doubled", r.Doubled}, {"requests lost", r.Lost},
+		{"falsely called not run", r.FalseNotRun},
+	}
+	for _, row := range rows {
+		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
+	}
+	codes := make([]string, 0, len(r.Codes))
+	for c := range r.Codes {
+		codes = append(codes, c)
+	}
+	sort.Strings(codes)
+	for _, c := range codes {
+		fmt.Fprintf(t, "code %s\t%d\n", c, r.Codes[c])
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "print report")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/store/server.go
@@ -0,0 +1,204 @@
+package store
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// Faults tells the stand-in how to fail.
+type Faults struct {
+	// Outage answers each call with 503; nothing is done.
+	Outage bool `json:"outage"`
+	// Silent answers no call.
+	Silent bool `json:"silent"`
+	// DelayMillis delays each answer.
+	DelayMillis int `json:"delay_ms"`
+	// LoseAnswers carries out so many writes without an answer.
+	LoseAnswers int `json:"lose_answers"`
+	// Forget deletes all records once; the newest of each key stay.
+	Forget bool `json:"forget"`
+}
+
+// Server is the stand-in. Use New to make one.
+type Server struct {
+	logs logs
+	// PageItems bounds the entries of one page of newest values.
+	PageItems int
+
+	mu     sync.Mutex
+	faults Faults
+	calls  map[string]int
+}
+
+const (
+	defaultPageItems = 500
+	maxBodyBytes     = 2 << 20
+)
+
+// New returns an empty store.
+func New() *Server {
+	return &Server{
+		logs: logs{partitions: map[string]*partition{}}, PageItems: defaultPageItems, calls: map[string]int{},
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	if f.Forget {
+		s.logs.forget()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns how often each call was made.
+func (s *Server) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range s.calls {
+		out[k] = n
+	}
+	return out
+}
+
+// Handler serves the store's calls, and /faults and /calls.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.PUT("/faults", func(c echo.Context) error {
+		var f Faults
+		if err := c.Bind(&f); err != nil {
+			return err
+		}
+		s.SetFaults(f)
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.GET("/calls", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Calls()) })
+	g := e.Group("/cuminwheel", s.fail)
+	g.POST("/log-append", s.add)
+	g.GET("/log-read", s.read)
+	g.GET("/log-newest", s.newest)
+	return e
+}
+
+// fail counts a call and lets the faults in force act on it.
+func (s *Server) fail(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s.mu.Lock()
+		f := s.faults
+		s.calls[c.Path()]++
+		loses := f.LoseAnswers > 0 && c.Request().Method == http.MethodPost
+		if loses {
+			s.faults.LoseAnswers--
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
+		switch {
+		case f.Silent:
+			<-c.Request().Context().Done()
+			return nil
+		case f.Outage:
+			return c.NoContent(http.StatusServiceUnavailable)
+		case loses:
+			if err := s.add(c); err != nil {
+				return err
+			}
+			panic(http.ErrAbortHandler)
+		}
+		return next(c)
+	}
+}
+
+func number(c echo.Context, name string, absent int64) (int64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return absent, nil
+	}
+	return strconv.ParseInt(text, 10, 64)
+}
+
+func (s *Server) add(c echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes))
+	if err != nil {
+		return err
+	}
+	records, err := split(body)
+	condition, err2 := number(c, "as_of", -1)
+	if err != nil || err2 != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	offset, end, err := s.logs.add(c.QueryParam("topic"), c.QueryParam("part"), records, condition)
+	switch {
+	case errors.Is(err, errMoved):
+		return c.JSON(http.StatusPreconditionFailed, map[string]int64{"end": end})
+	case err != nil:
+		return c.NoContent(http.StatusBadRequest)
+	}
+	return c.JSON(http.StatusOK, map[string]int64{"offset": offset, "end": end})
+}
+
+func (s *Server) read(c echo.Context) error {
+	from, err := number(c, "from", 0)
+	wait, err2 := number(c, "wait_ms", 0)
+	if err != nil || err2 != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	end, first, records, err := s.logs.read(c.Request().Context(), c.QueryParam("topic"), c.QueryParam("part"),
+		from, time.Duration(wait)*time.Millisecond)
+	if errors.Is(err, errForgotten) {
+		return c.JSON(http.StatusGone, map[string]int64{"first": first})
+	}
+	if err != nil {
+		return err
+	}
+	b := binary.BigEndian.AppendUint64(nil, uint64(end))
+	b = binary.BigEndian.AppendUint64(b, uint64(first))
+	for _, r := range records {
+		b = binary.BigEndian.AppendUint32(b, uint32(len(r)))
+		b = append(b, r...)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, b)
+}
+
+// item is an entry of a page of newest values.
+type item struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+func (s *Server) newest(c echo.Context) error {
+	after := c.QueryParam("after")
+	s.logs.mu.Lock()
+	p := s.logs.partition(c.QueryParam("topic"), c.QueryParam("part"))
+	items := []item{}
+	for key, e := range p.newest {
+		if key > after {
+			items = append(items, item{Key: key, Value: base64.StdEncoding.EncodeToString(e.value), Offset: e.offset})
+		}
+	}
+	end := p.end()
+	s.logs.mu.Unlock()
+	slices.SortFunc(items, func(a, b item) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	more := len(items) > s.PageItems
+	if more {
+		items = items[:s.PageItems]
+	}
+	return c.JSON(http.StatusOK, map[string]any{"items": items, "more": more, "end": end})
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,260 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Faults tells the stand-in how to be sick. Its health endpoint never shows
+// any of them.
+type Faults struct {
+	// Stall holds real work until its deadline or cancellation.
+	Stall bool `json:"stall"`
+	// SlowFactor multiplies the time of work; 0 and 1 leave it.
+	SlowFactor float64 `json:"slow_factor"`
+	// FailShare of the requests get status 500.
+	FailShare float64 `json:"fail_share"`
+	// ResetShare of the requests get their connection reset in place of an
+	// answer, half of them after the request has run.
+	ResetShare float64 `json:"reset_share"`
+	// ShedShare of the requests are refused without having run.
+	ShedShare float64 `json:"shed_share"`
+	// Truncate breaks answers off halfway.
+	Truncate bool `json:"truncate"`
+	// Cross answers with the ID of another request.
+	Cross bool `json:"cross"`
+	// Extra sends each answer twice.
+	Extra bool `json:"extra"`
+}
+
+// Headers of the platform that the stand-in reads and writes.
+const (
+	headerRequestID = "Cuminwheel-Request-Id"
+	headerRemaining = "Cuminwheel-Deadline-Ms"
+	headerProof     = "Cuminwheel-Server-Signature"
+	headerInstance  = "Cuminwheel-Expected-Instance"
+	headerNotRun    = "Cuminwheel-Not-Executed"
+	headerLoad      = "Cuminwheel-Server-Load"
+	headerSelf      = "Cuminwheel-Instance-Id"
+)
+
+// Server is the stand-in. Use New to make one.
+type Server struct {
+	// Instance names this start.
+	Instance string
+	service  string
+	work     time.Duration
+	slots    chan struct{}
+
+	mu     sync.Mutex
+	faults Faults
+	// ran gets a line with its id for each request that begins to run.
+	ran io.Writer
+}
+
+// New returns a stand-in for a server of the service whose requests take about
+// work each. It writes the id of each request that begins as a line to ran.
+func New(instance, service string, slots int, work time.Duration, ran io.Writer) *Server {
+	return &Server{Instance: instance, service: service, work: work, slots: make(chan struct{}, slots), ran: ran}
+}
+
+// Handler serves work on all paths but /healthz and /faults.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/healthz", func(c echo.Context) error {
+		c.Response().Header().Set(headerSelf, s.Instance)
+		return c.String(http.StatusOK, "ok\n")
+	})
+	e.PUT("/faults", func(c echo.Context) error {
+		var f Faults
+		if err := c.Bind(&f); err != nil {
+			return err
+		}
+		s.SetFaults(f)
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.Any("/*", func(c echo.Context) error {
+		s.serve(c.Response(), c.Request())
+		return nil
+	})
+	return e
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) present() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	f := s.present()
+	id := r.Header.Get(headerRequestID)
+	h := w.Header()
+	h.Set(headerRequestID, id)
+	if expected := r.Header.Get(headerInstance); expected != "" && expected != s.Instance {
+		h.Set(headerSelf, s.Instance)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), remaining(r))
+	defer cancel()
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-ctx.Done():
+		s.refuse(w)
+		return
+	}
+	if rand.Float64() < f.ShedShare {
+		s.refuse(w)
+		return
+	}
+	resets := rand.Float64() < f.ResetShare
+	if resets && rand.IntN(2) == 0 {
+		reset(w)
+		return
+	}
+	s.begin(id)
+	if !s.labour(ctx, f) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if resets {
+		reset(w)
+		return
+	}
+	h.Set(headerLoad, fmt.Sprintf("%d,0,%d", len(s.slots), cap(s.slots)))
+	h.Set(headerProof, "standin."+id)
+	if rand.Float64() < f.FailShare {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.answer(w, r, f, id)
+}
+
+func (s *Server) refuse(w http.ResponseWriter) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func remaining(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(headerRemaining))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// reset closes the connection with a reset.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tc, ok := conn.(*net.TCPConn); ok {
+		tc.SetLinger(0)
+	}
+	conn.Close()
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, f Faults, id string) {
+	body := Answer(s.service, r.URL.Path, id)
+	switch {
+	case f.Cross:
+		w.Header().Set(headerRequestID, "another-request")
+	case f.Extra:
+		s.answerTwice(w, body, id)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if f.Truncate {
+		w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(body)
+}
+
+// answerTwice writes the answer and, a little later, the same again.
+func (s *Server) answerTwice(w http.ResponseWriter, body []byte, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	bw := bufio.NewWriter(conn)
+	for range 2 {
+		fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: standin.%s\r\nContent-Length: %d\r\n\r\n%s",
+			headerRequestID, id, headerProof, id, len(body), body)
+		bw.Flush()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// labour takes the time of the work and reports whether it was done in time.
+func (s *Server) labour(ctx context.Context, f Faults) bool {
+	if f.Stall {
+		<-ctx.Done()
+		return false
+	}
+	d := time.Duration(float64(s.work) * (0.6 + 0.8*rand.Float64()))
+	if f.SlowFactor > 1 {
+		d = time.Duration(float64(d) * f.SlowFactor)
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) begin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintln(s.ran, id)
+}
+
+// document is the stand-in's answer.
+type document struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	ID      string `json:"id"`
+}
+
+// Answer returns what the stand-in answers, from which the caller can tell that
+// the answer is whole and its own.
+func Answer(service, path, id string) []byte {
+	b, err := json.Marshal(document{Service: service, Path: path, ID: id})
+	if err != nil {
+		panic(err) // a document of strings always encodes
+	}
+	return b
+}
+
+// IsOwnAnswer reports whether an answer is whole and belongs to the id.
+func IsOwnAnswer(answer []byte, id string) bool {
+	var d document
+	return json.Unmarshal(answer, &d) == nil && d.ID == id
+}
