--- /dev/null
+++ b/connection/hop/hop_test.go
@@ -0,0 +1,69 @@
+package hop
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func TestAskSurvivesTheWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Ask{
+			Service:       rapid.StringMatching(`[a-z0-9]{1,12}`).Draw(t, "service"),
+			CallerService: rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "caller"),
+			Idempotent:    rapid.Bool().Draw(t, "idempotent"),
+			Priority:      rapid.IntRange(0, 9).Draw(t, "priority"),
+			Repeat:        rapid.Bool().Draw(t, "repeat"),
+			MayFail:       rapid.Bool().Draw(t, "may_fail"),
+			Deadline:      now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "left")) * time.Millisecond),
+			WaitUntil:     now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "wait")) * time.Millisecond),
+		}
+		h := http.Header{"X": {"kept"}}
+		a.Set(h, now)
+		got, err := TakeAsk(h, now)
+		if err != nil || got != a {
+			t.Fatalf("got %+v, %v; want %+v", got, err, a)
+		}
+		if len(h) != 1 {
+			t.Fatalf("the field stays in the header: %v", h)
+		}
+	})
+}
+
+func TestReplySurvivesTheWay(t *testing.T) {
+	tests := []struct {
+		name    string
+		problem *outcome.Problem
+	}{
+		{"answer", nil},
+		{"refusal", outcome.Refused(outcome.CodeFull, "the gate reported it").WithRetryAt(now.Add(250 * time.Millisecond))},
+		{"failure", outcome.Failed(outcome.CodeTargetFailed, "the gate reported it")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := Reply{State: State{Open: true, Suspect: true, Busy: 4, Slots: 3}, Problem: test.problem}
+			h := http.Header{}
+			r.Set(h, now)
+			got, err := TakeReply(h, now)
+			is.NoErr(err)
+			is.Equal(got, r)
+		})
+	}
+}
+
+func TestMalformedFields(t *testing.T) {
+	for _, field := range []string{"", "s=a", "s=a;d=x;w=1", "d=1;w=1", "b=1", "b=x;n=1"} {
+		is := is.New(t)
+		_, err := TakeAsk(http.Header{"Cw": {field}}, now)
+		is.Equal(err, ErrMalformed)
+		_, err = TakeReply(http.Header{"Cw": {field}}, now)
+		is.Equal(err, ErrMalformed)
+	}
+}
--- /dev/null
+++ b/process/entry/choose_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func sound(t tier, load float64) view { return view{tier: t, load: load, heardAgo: time.Second / 10} }
+
+func TestChoose(t *testing.T) {
+	suspect := func(v view, ago time.Duration) view { v.suspect, v.heardAgo = true, ago; return v }
+	closed := func(v view) view { v.closed = true; return v }
+	down := func(v view) view { v.down = true; return v }
+	hopeful := passes[len(passes)-1]
+	tests := []struct {
+		name  string
+		pass  pass
+		views []view
+		r     request
+		want  int
+	}{
+		{"the least loaded nearby", passes[0], []view{sound(tierDataCentre, 0.9), sound(tierDataCentre, 0.2)}, request{}, 1},
+		{"nearby before less loaded", passes[0], []view{sound(tierRegion, 0), sound(tierDataCentre, 2)}, request{}, 1},
+		{"remote ones only in their pass", passes[0], []view{sound(tierRemote, 0)}, request{}, -1},
+		{"remote ones in their pass", passes[2], []view{sound(tierDataCentre, 0), sound(tierRemote, 0)}, request{}, 1},
+		{"claims avoid suspects", passes[0], []view{suspect(sound(tierDataCentre, 0), time.Second), sound(tierRegion, 1)}, request{}, 1},
+		{"claims go to no suspect", passes[0], []view{suspect(sound(tierDataCentre, 0), time.Second)}, request{}, -1},
+		{"reads try suspects out", passes[0], []view{sound(tierDataCentre, 0.9), suspect(sound(tierDataCentre, 0), time.Second)}, request{mayFail: true}, 1},
+		{"not so soon after a failure", passes[0], []view{sound(tierDataCentre, 0.9), suspect(sound(tierDataCentre, 0), 0)}, request{mayFail: true}, 0},
+		{"closed ones are left out", passes[0], []view{closed(sound(tierDataCentre, 0)), sound(tierRegion, 1)}, request{}, 1},
+		{"unreachable ones are left out", passes[0], []view{down(sound(tierDataCentre, 0))}, request{}, -1},
+		{"in the end all are asked", hopeful, []view{down(sound(tierDataCentre, 0))}, request{}, 0},
+		{"and sound ones first", hopeful, []view{down(sound(tierDataCentre, 0)), suspect(sound(tierDataCentre, 0), 0), sound(tierRemote, 2)}, request{}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got := test.pass.choose(test.views, func(int) bool { return false }, test.r, func() float64 { return 0 })
+			is.Equal(got, test.want)
+		})
+	}
+	is := is.New(t)
+	both := []view{sound(tierDataCentre, 0), sound(tierDataCentre, 1)}
+	is.Equal(passes[0].choose(both, func(i int) bool { return i == 0 }, request{}, func() float64 { return 0 }), 1) // none is asked twice
+}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -48,6 +48,8 @@
 	// open counts the asks without a result yet.
 	open    int
 	results chan result
+	// lostAt holds the gates that failed the request; they are not asked again.
+	lostAt map[*candidate]bool
 	// last is the last problem, unsure the last whose outcome is unknown.
 	last   *outcome.Problem
 	unsure *outcome.Problem
@@ -58,6 +60,7 @@
 
 // result is what became of one ask.
 type result struct {
+	from    *candidate
 	answer  *message.Answer
 	problem *outcome.Problem
 	// slow means that there is no result yet, and that the request may be sent
@@ -70,7 +73,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(finalSlack))
 	defer cancel()
 	// Each ask has one result and may be slow once before.
-	j := &journey{call: c, results: make(chan result, 2*maxAsks)}
+	j := &journey{call: c, results: make(chan result, 2*maxAsks), lostAt: map[*candidate]bool{}}
 	e.rounds(ctx, j)
 	// A target that is still at work may answer yet.
 	for j.answer == nil && j.open > 0 {
@@ -126,7 +129,7 @@
 		for i, c := range candidates {
 			views[i] = c.view(now)
 		}
-		i := p.choose(views, func(i int) bool { return tried[i] }, request{mayFail: j.mayFail()}, rand.Float64)
+		i := p.choose(views, func(i int) bool { return tried[i] || j.lostAt[candidates[i]] }, request{mayFail: j.mayFail()}, rand.Float64)
 		if i < 0 {
 			return false
 		}
@@ -157,6 +160,9 @@
 		j.answer = r.answer
 		return false
 	}
+	if r.problem.Outcome == outcome.Unknown {
+		j.lostAt[r.from] = true
+	}
 	return j.goesOn(r.problem)
 }
 
@@ -231,7 +237,7 @@
 		"tier", to.tier, "load", v.load, "suspect", v.suspect, "belief_age_ms", min(v.heardAgo, time.Hour).Milliseconds(),
 		"ask", j.asked, "repeat", ask.Repeat, "may_fail", ask.MayFail, "outcome", code,
 		"took_ms", time.Since(now).Milliseconds())
-	j.results <- result{answer: a, problem: problem}
+	j.results <- result{from: to, answer: a, problem: problem}
 }
 
 // exchange sends the request once the gate has granted it a slot. slow is called
--- /dev/null
+++ b/process/gate/gate_test.go
@@ -0,0 +1,360 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/request/head"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+type noHeaders struct{}
+
+func (noHeaders) SetTarget(http.Header, head.ToTarget, time.Time)    {}
+func (noHeaders) OfTarget(int, http.Header) head.OfTarget            { return head.OfTarget{} }
+func (noHeaders) AnswerID(http.Header) string                        { return "" }
+func (noHeaders) Caller(http.Header, time.Time) (caller head.Caller) { return caller }
+
+type noMeter struct{}
+
+func (noMeter) GateEnded(outcome.Code) {}
+
+const address = "10.0.0.1:80"
+
+func newGate() *Gate {
+	g, _ := New(Options{
+		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
+		RetryRatio: 0.2, RetrySlack: 60, Gates: func() int { return 12 },
+	})
+	return g
+}
+
+func announcement(instance string, born, sequence int64) Announcement {
+	return Announcement{Instance: instance, Service: "s", Address: address, Slots: 2, Born: time.UnixMilli(born), Sequence: sequence}
+}
+
+func openGate(t *testing.T) *Gate {
+	t.Helper()
+	g := newGate()
+	if err := g.Announce(announcement("i", 1000, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func askFor(wait time.Duration) hop.Ask {
+	now := time.Now()
+	return hop.Ask{Service: "s", Idempotent: true, Deadline: now.Add(10 * time.Second), WaitUntil: now.Add(wait)}
+}
+
+func TestAnnouncements(t *testing.T) {
+	draining := func(a Announcement) Announcement { a.Draining = true; return a }
+	announce := func(a Announcement) func(*Gate) error { return func(g *Gate) error { return g.Announce(a) } }
+	leave := func(f Farewell) func(*Gate) error { return func(g *Gate) error { return g.Leave(f) } }
+	tests := []struct {
+		name  string
+		steps []func(*Gate) error
+		last  error
+		open  bool
+	}{
+		{"none", nil, nil, false},
+		{"ready", []func(*Gate) error{announce(announcement("i", 1, 1))}, nil, true},
+		{"draining", []func(*Gate) error{announce(announcement("i", 1, 1)), announce(draining(announcement("i", 1, 2)))}, nil, false},
+		{"a late one after draining", []func(*Gate) error{announce(draining(announcement("i", 1, 2))), announce(announcement("i", 1, 1))}, ErrOutdated, false},
+		{"draining does not end", []func(*Gate) error{announce(draining(announcement("i", 1, 2))), announce(announcement("i", 1, 3))}, nil, false},
+		{"left", []func(*Gate) error{announce(announcement("i", 1, 1)), leave(Farewell{Instance: "i", Born: time.UnixMilli(1)})}, nil, false},
+		{"a late one after leaving", []func(*Gate) error{announce(announcement("i", 1, 1)), leave(Farewell{Instance: "i"}), announce(announcement("i", 1, 2))}, ErrOutdated, false},
+		{"leaving twice", []func(*Gate) error{announce(announcement("i", 1, 1)), leave(Farewell{Instance: "i"}), leave(Farewell{Instance: "i"})}, nil, false},
+		{"leaving before the first one", []func(*Gate) error{leave(Farewell{Instance: "i", Born: time.UnixMilli(5)}), announce(announcement("i", 5, 9))}, ErrOutdated, false},
+		{"the next start", []func(*Gate) error{announce(announcement("i", 1, 9)), leave(Farewell{Instance: "i"}), announce(announcement("j", 2, 1))}, nil, true},
+		{"the next start under the same name", []func(*Gate) error{announce(announcement("i", 1, 9)), leave(Farewell{Instance: "i"}), announce(announcement("i", 2, 1))}, nil, true},
+		{"an old start comes late", []func(*Gate) error{announce(announcement("j", 2, 1)), announce(draining(announcement("i", 1, 9)))}, ErrOutdated, true},
+		{"an old start leaves late", []func(*Gate) error{announce(announcement("j", 2, 1)), leave(Farewell{Instance: "i", Born: time.UnixMilli(1)})}, ErrOutdated, true},
+		{"another service", []func(*Gate) error{func(g *Gate) error {
+			a := announcement("i", 1, 1)
+			a.Service = "t"
+			return g.Announce(a)
+		}}, ErrNotOurs, false},
+		{"another address", []func(*Gate) error{func(g *Gate) error {
+			a := announcement("i", 1, 1)
+			a.Address = "10.0.0.2:80"
+			return g.Announce(a)
+		}}, ErrNotOurs, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate()
+			var err error
+			for _, step := range test.steps {
+				err = step(g)
+			}
+			is.True(errors.Is(err, test.last))
+			is.Equal(g.State().Open, test.open)
+		})
+	}
+}
+
+// A clock that jumps back makes a new start look old. It is believed once the
+// other one is silent and it goes on announcing itself; one late message of a
+// dead start is not.
+func TestStartWithEarlierClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		old := announcement("j", 500, 1)
+		is.True(errors.Is(g.Announce(old), ErrOutdated))
+		time.Sleep(rivalSilence)
+		is.True(errors.Is(g.Announce(old), ErrOutdated)) // the same message again
+		old.Sequence = 2
+		is.NoErr(g.Announce(old))
+		is.Equal(g.target.announced.Instance, "j")
+	})
+}
+
+func TestAnnouncementCheck(t *testing.T) {
+	tests := []struct {
+		name  string
+		edit  func(*Announcement)
+		field string
+	}{
+		{"sound", func(*Announcement) {}, ""},
+		{"no instance", func(a *Announcement) { a.Instance = "" }, "instance"},
+		{"no service", func(a *Announcement) { a.Service = "" }, "service"},
+		{"host name", func(a *Announcement) { a.Address = "localhost:1" }, "address"},
+		{"no port", func(a *Announcement) { a.Address = "127.0.0.1" }, "address"},
+		{"no slots", func(a *Announcement) { a.Slots = 0 }, "slots"},
+		{"too many slots", func(a *Announcement) { a.Slots = maxSlots + 1 }, "slots"},
+		{"no start", func(a *Announcement) { a.Born = time.Time{} }, "born"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a := announcement("i", 1, 1)
+			test.edit(&a)
+			err := a.Check()
+			if test.field == "" {
+				is.NoErr(err)
+				return
+			}
+			var e *AnnouncementError
+			is.True(errors.As(err, &e))
+			is.Equal(e.Field, test.field)
+		})
+	}
+}
+
+// What cannot be served is turned away at once, and is not run.
+func TestRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*Gate, *hop.Ask)
+		want    outcome.Code
+	}{
+		{"another service", func(_ *Gate, a *hop.Ask) { a.Service = "t" }, outcome.CodeNoTarget},
+		{"the target drains", func(g *Gate, _ *hop.Ask) {
+			a := announcement("i", 1000, 2)
+			a.Draining = true
+			_ = g.Announce(a)
+		}, outcome.CodeDraining},
+		{"the node leaves", func(g *Gate, _ *hop.Ask) { g.Close() }, outcome.CodeDraining},
+		{"the deadline has passed", func(_ *Gate, a *hop.Ask) { a.Deadline = time.Now() }, outcome.CodeNotInTime},
+		{"no retry left", func(g *Gate, a *hop.Ask) { a.Repeat, g.budget.tokens = true, 0.9 }, outcome.CodeRetryBudget},
+		{"the target is suspected", func(g *Gate, a *hop.Ask) { g.target.trust.Lost(time.Now()) }, outcome.CodeSuspect},
+		{"the wait is longer than allowed", func(g *Gate, _ *hop.Ask) { g.target.running = 2 }, outcome.CodeFull},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := openGate(t)
+				a := askFor(10 * time.Millisecond)
+				test.prepare(g, &a)
+				began := time.Now()
+				_, p := g.admit(t.Context(), a)
+				is.True(p != nil)
+				is.Equal(p.Code, test.want)
+				is.Equal(p.Outcome, outcome.NotRun)
+				is.Equal(time.Since(began), time.Duration(0))
+			})
+		})
+	}
+}
+
+// occupy takes all slots.
+func occupy(t *testing.T, g *Gate) []grant {
+	t.Helper()
+	var held []grant
+	for range g.State().Slots {
+		gr, p := g.admit(t.Context(), askFor(0))
+		if p != nil {
+			t.Fatal(p)
+		}
+		held = append(held, gr)
+	}
+	return held
+}
+
+// When the target drains, all that waits is turned away at that moment and
+// nothing is granted later.
+func TestDrainingTurnsWaitersAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		held := occupy(t, g)
+		refused := make(chan *outcome.Problem, 2)
+		for range 2 {
+			go func() {
+				_, p := g.admit(t.Context(), askFor(5*time.Second))
+				refused <- p
+			}()
+		}
+		synctest.Wait()
+		a := announcement("i", 1000, 2)
+		a.Draining = true
+		is.NoErr(g.Announce(a))
+		for range 2 {
+			is.Equal((<-refused).Code, outcome.CodeDraining)
+		}
+		for _, gr := range held {
+			g.end(gr, resultProved)
+		}
+		_, p := g.admit(t.Context(), askFor(time.Second))
+		is.Equal(p.Code, outcome.CodeDraining)
+		is.Equal(g.Running(), 0)
+	})
+}
+
+// Waiting requests are served by priority, then in the order of their arrival;
+// requests that a running request of a caller waits for come first that way.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		held := occupy(t, g)
+		order := make(chan int, 4)
+		for i, priority := range []int{2, 1, 2, 0} {
+			a := askFor(5 * time.Second)
+			a.Priority = priority
+			go func() {
+				gr, p := g.admit(t.Context(), a)
+				if p != nil {
+					t.Error(p)
+					return
+				}
+				order <- i
+				g.end(gr, resultProved)
+			}()
+			synctest.Wait()
+		}
+		g.end(held[0], resultProved)
+		synctest.Wait()
+		for _, want := range []int{3, 1, 0, 2} {
+			is.Equal(<-order, want)
+		}
+	})
+}
+
+// A waiter whose time is over or whose caller leaves gives its place up, and no
+// slot is lost to it.
+func TestWaitersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		held := occupy(t, g)
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan *outcome.Problem, 2)
+		go func() {
+			_, p := g.admit(ctx, askFor(5*time.Second))
+			results <- p
+		}()
+		synctest.Wait()
+		cancel()
+		is.Equal((<-results).Code, outcome.CodeCallerGone)
+		_, p := g.admit(t.Context(), askFor(300*time.Millisecond))
+		is.Equal(p.Code, outcome.CodeFull)
+		for _, gr := range held {
+			g.end(gr, resultProved)
+		}
+		is.Equal(g.Running(), 0)
+		occupy(t, g)
+	})
+}
+
+// A suspected target gets only one trial at a time; claims stay away until it
+// has proved itself.
+func TestSuspectedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		gr, p := g.admit(t.Context(), askFor(0))
+		is.True(p == nil)
+		g.end(gr, resultLost)
+		is.True(g.State().Suspect)
+		time.Sleep(300 * time.Millisecond)
+		claim := askFor(0)
+		claim.Idempotent = false
+		_, p = g.admit(t.Context(), claim)
+		is.Equal(p.Code, outcome.CodeSuspect)
+		is.True(p.RetryAt.After(time.Time{}))
+		trial := askFor(0)
+		trial.MayFail = true
+		gr, p = g.admit(t.Context(), trial)
+		is.True(p == nil)
+		_, p = g.admit(t.Context(), trial)
+		is.Equal(p.Code, outcome.CodeSuspect)
+		g.end(gr, resultProved)
+		_, p = g.admit(t.Context(), claim)
+		is.True(p == nil)
+	})
+}
+
+// What a request of an earlier start taught says nothing of the present one.
+func TestLessonsOfAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	gr, p := g.admit(t.Context(), askFor(0))
+	is.True(p == nil)
+	is.NoErr(g.Announce(announcement("j", 2000, 1)))
+	g.end(gr, resultLost)
+	is.True(!g.State().Suspect)
+	is.Equal(g.Running(), 0)
+}
+
+// The gates of a service together never send more repeats than the fleet's
+// bound allows, however repeats and first sends fall to them.
+func TestBudgetsSumToTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack = 0.2, 60.0
+		gates := rapid.IntRange(1, 200).Draw(t, "gates")
+		budgets := make([]budget, gates)
+		for i := range budgets {
+			budgets[i] = newBudget(ratio, slack, gates)
+		}
+		first, repeats := 0, 0
+		for range rapid.IntRange(0, 2000).Draw(t, "sends") {
+			b := &budgets[rapid.IntRange(0, gates-1).Draw(t, "gate")]
+			if rapid.Bool().Draw(t, "repeat") {
+				if b.canSpend() {
+					b.spend()
+					repeats++
+				}
+				continue
+			}
+			b.earn()
+			first++
+		}
+		// Each gate may send at least one repeat.
+		if bound := ratio*float64(first) + max(slack, float64(gates)); float64(repeats) > bound {
+			t.Fatalf("%d repeats of %d requests over %d gates", repeats, first, gates)
+		}
+	})
+}
--- /dev/null
+++ b/process/judgement/trust_test.go
@@ -0,0 +1,68 @@
+package judgement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// One lost request is enough to keep claims away; a success lets them back.
+func TestTrust(t *testing.T) {
+	tests := []struct {
+		name    string
+		events  string // l lost, e erred, p proved, . 1 s passes
+		suspect bool
+	}{
+		{"new", "", false},
+		{"one lost", "l", true},
+		{"one lost, one proved", "lp", false},
+		{"three lost, one proved", "lllp", true},
+		{"three lost, two proved", "lllpp", false},
+		{"one error", "e", false},
+		{"three errors in a row", "eee", true},
+		{"errors among successes", "pepepepepe", false},
+		{"lost long ago", "l....", false},
+		{"many lost, a little ago", "lllll...", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var trust Trust
+			now := time.Unix(0, 0)
+			for _, e := range test.events {
+				switch e {
+				case 'l':
+					trust.Lost(now)
+				case 'e':
+					trust.Erred(now)
+				case 'p':
+					trust.Proved(now)
+				case '.':
+					now = now.Add(time.Second)
+				}
+			}
+			is.Equal(trust.IsSuspect(now), test.suspect)
+		})
+	}
+}
+
+// A suspected target gets one trial at a time, of requests that may fail, and
+// is never left without one for more than the floor rule allows.
+func TestTrials(t *testing.T) {
+	is := is.New(t)
+	var trust Trust
+	now := time.Unix(0, 0)
+	is.Equal(trust.Admit(now, false), Admitted)
+	trust.Lost(now)
+	for range 10 {
+		is.Equal(trust.Admit(now, true), Withheld)
+		is.True(trust.TrialAt().Sub(now) <= lastTrial)
+		now = trust.TrialAt()
+		is.Equal(trust.Admit(now, false), Withheld)
+		is.Equal(trust.Admit(now, true), Tried)
+		is.Equal(trust.Admit(now, true), Withheld) // one at a time
+		trust.Lost(now)
+		trust.TrialEnded()
+	}
+}
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -106,6 +106,8 @@
 		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
 		switch {
 		case f.Silent:
+			// The end of the connection shows only behind the body.
+			io.Copy(io.Discard, c.Request().Body)
 			<-c.Request().Context().Done()
 			return nil
 		case f.Outage:
--- /dev/null
+++ b/version/configuration/configuration_test.go
@@ -0,0 +1,98 @@
+package configuration
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+func TestRouteFor(t *testing.T) {
+	c := New(1, nil, Limits{}, []Route{
+		{Name: "all", Host: "a", Prefix: "/"},
+		{Name: "board", Host: "a", Prefix: "/board/"},
+		{Name: "today", Host: "a", Prefix: "/board/today/"},
+		{Name: "only", Host: "b", Prefix: "/only/"},
+	})
+	tests := []struct{ host, path, want string }{
+		{"a", "/", "all"},
+		{"a", "/boards/", "all"},
+		{"a", "/board/x", "board"},
+		{"a", "/board/today/x", "today"},
+		{"b", "/only/x", "only"},
+		{"b", "/only", ""},
+		{"c", "/board/", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := c.RouteFor(test.host, test.path)
+			is.Equal(r.Name, test.want)
+			is.Equal(ok, test.want != "")
+		})
+	}
+}
+
+// Evenly spread points fall to the parts by their weights.
+func TestPartFor(t *testing.T) {
+	is := is.New(t)
+	r := Route{Parts: []Part{{"a", 90}, {"none", 0}, {"b", 10}}}
+	got := map[string]int{}
+	for i := range 1000 {
+		got[r.PartFor(float64(i)/1000)]++
+	}
+	is.Equal(got, map[string]int{"a": 900, "b": 100})
+	is.Equal(Route{}.PartFor(0.5), "")
+}
+
+func TestReadDraft(t *testing.T) {
+	sound := `{"version": 2, "services": [{"name": "s"}], "routes": [{"name": "r", "host": "h", "prefix": "/p/",
+		"timeout_ms": 100, "parts": [{"service": "s", "weight": 1}]}]}`
+	tests := []struct {
+		name, from, to, fault string
+	}{
+		{"sound", "", "", ""},
+		{"no version", `"version": 2`, `"version": 0`, "version:"},
+		{"service twice", `{"name": "s"}`, `{"name": "s"}, {"name": "s"}`, "services[1].name:"},
+		{"unnamed service", `{"name": "s"}`, `{"name": "s"}, {"name": ""}`, "services[1].name:"},
+		{"no host", `"host": "h"`, `"host": ""`, "routes[0].host:"},
+		{"open prefix", `"/p/"`, `"/p"`, "routes[0].prefix:"},
+		{"no timeout", `"timeout_ms": 100`, `"timeout_ms": 0`, "routes[0].timeout_ms:"},
+		{"unknown part", `"service": "s"`, `"service": "t"`, "routes[0].parts[0].service:"},
+		{"no weight", `"weight": 1`, `"weight": 0`, "routes[0].parts:"},
+		{"unknown field", `"version": 2`, `"version": 2, "floor": 1`, `unknown field "floor"`},
+		{"cut short", `"routes"`, `"rou`, "cannot be read"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ReadDraft(strings.NewReader(strings.Replace(sound, test.from, test.to, 1)))
+			if test.fault == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), test.fault))
+		})
+	}
+	is := is.New(t)
+	_, err := ReadDraft(strings.NewReader("{"))
+	is.True(errors.Is(err, ErrSyntax))
+}
+
+func TestDraftDefaults(t *testing.T) {
+	is := is.New(t)
+	d, err := ReadDraft(strings.NewReader(`{"version": 5, "services": [{"name": "s"}], "limits": {"idle_timeout_ms": 9000},
+		"routes": [{"name": "r", "host": "h", "prefix": "/", "timeout_ms": 100, "parts": [{"service": "s", "weight": 1}]}]}`))
+	is.NoErr(err)
+	c := d.Configuration()
+	is.Equal(c.Version, uint64(5))
+	is.Equal(c.Limits().IdleTimeout, 9*time.Second)
+	is.Equal(c.Limits().BodyBytes, DefaultLimits.BodyBytes)
+	r, ok := c.RouteFor("h", "/x")
+	is.True(ok)
+	is.True(r.Idempotent)
+	is.Equal(r.MaxAttempts, 1)
+}
