entry, gate, node: waits by deadline, sheds without doubt, rosters read at restart

Gates that were full turned them away one after the other for 400 ms; a service that shed half of its work was withheld by its gates as suspected; after kill_all nodes knew no other for more than a second (178 refused in 2 s). Change: the wait for a slot is a share of the target latency or of the time left, whichever is longer, and ends nearby; remote gates are asked only if there is time. A shed request is no doubt. Four errors in a row make a target suspected, not three. Restarted nodes read the roster before they join. Gates use 0.8 and 0.6 of the retry bounds. Ruled out: longer waits for all passes (late answers of requests with time).

--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -7,13 +7,15 @@
 
 // pass is one round of asking gates. A request goes through the passes until a
 // gate grants it a slot: first to gates nearby that have a slot now, then it
-// waits a little nearby, then it crosses regions, and in the end it waits
-// wherever there is room in time.
+// waits a little nearby, then it crosses regions if there is time, and in the
+// end it waits wherever there is room before its deadline.
 type pass struct {
 	nearest, farthest tier
-	// waitShare is the share of the target latency that the request may wait
-	// for its slot.
-	waitShare float64
+	// aimShare and leftShare bound the wait for a slot: a share of the target
+	// latency and of the time left to the deadline. The longer one counts.
+	aimShare, leftShare float64
+	// needs is the time that must be left for the pass to make sense.
+	needs time.Duration
 	// asks bounds how many gates are asked.
 	asks int
 	// hopeful passes ask also those gates that were not open or sound lately.
@@ -21,10 +23,20 @@
 }
 
 var passes = []pass{
-	{nearest: tierDataCentre, farthest: tierRegion, waitShare: 0, asks: 6},
-	{nearest: tierDataCentre, farthest: tierRegion, waitShare: 0.15, asks: 3},
-	{nearest: tierRemote, farthest: tierRemote, waitShare: 0.1, asks: 3},
-	{nearest: tierDataCentre, farthest: tierRemote, waitShare: 0.5, asks: 4, hopeful: true},
+	{nearest: tierDataCentre, farthest: tierRegion, asks: 6},
+	{nearest: tierDataCentre, farthest: tierRegion, aimShare: 0.25, leftShare: 0.1, asks: 2},
+	{nearest: tierRemote, farthest: tierRemote, aimShare: 0.1, needs: remoteNeeds, asks: 2},
+	{nearest: tierDataCentre, farthest: tierRegion, leftShare: 0.5, asks: 2},
+	{nearest: tierDataCentre, farthest: tierRemote, leftShare: 0.5, asks: 4, hopeful: true},
+}
+
+// remoteNeeds is two round trips between regions, for the grant and the answer,
+// and as much again for the work.
+const remoteNeeds = 250 * time.Millisecond
+
+// waitFor returns how long a request may wait for its slot in this pass.
+func (p pass) waitFor(targetLatency, left time.Duration) time.Duration {
+	return time.Duration(max(p.aimShare*float64(targetLatency), p.leftShare*float64(left)))
 }
 
 // request is what matters of a request for the choice of a gate.
--- a/process/entry/choose_test.go
+++ b/process/entry/choose_test.go
@@ -45,3 +45,29 @@
 	both := []view{sound(tierDataCentre, 0), sound(tierDataCentre, 1)}
 	is.Equal(passes[0].choose(both, func(i int) bool { return i == 0 }, request{}, func() float64 { return 0 }), 1) // none is asked twice
 }
+
+// A request with little time, such as one that a running request makes, waits
+// nearby for a good part of it instead of being turned away by full gates one
+// after the other; a remote gate is asked only if there is time for it.
+func TestWaits(t *testing.T) {
+	tests := []struct {
+		name          string
+		pass          int
+		targetLatency time.Duration
+		left          time.Duration
+		want          time.Duration
+	}{
+		{"no wait at first", 0, 800 * time.Millisecond, 1500 * time.Millisecond, 0},
+		{"a little nearby", 1, 800 * time.Millisecond, 1500 * time.Millisecond, 200 * time.Millisecond},
+		{"a little nearby, late", 1, 150 * time.Millisecond, 400 * time.Millisecond, 40 * time.Millisecond},
+		{"half of the time nearby", 3, 150 * time.Millisecond, 380 * time.Millisecond, 190 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(passes[test.pass].waitFor(test.targetLatency, test.left), test.want)
+		})
+	}
+	is := is.New(t)
+	is.True(passes[2].needs > 4*30*time.Millisecond) // two round trips between regions
+}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -122,6 +122,9 @@
 	tried := map[int]bool{}
 	for range p.asks {
 		now := time.Now()
+		if j.call.deadline.Sub(now) < p.needs {
+			return false
+		}
 		if !now.Before(j.call.deadline) || ctx.Err() != nil || j.asked >= maxAsks {
 			return true
 		}
@@ -222,7 +225,7 @@
 	ask := hop.Ask{
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
 		Priority: c.route.Priority, Repeat: j.sent > 0 || j.open > 1,
-		Deadline: c.deadline, WaitUntil: now.Add(time.Duration(p.waitShare * float64(c.targetLatency()))),
+		Deadline: c.deadline, WaitUntil: now.Add(p.waitFor(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	ask.MayFail = c.route.Idempotent && j.sent+j.open < c.route.MaxAttempts
 	to.began()
--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -13,8 +13,8 @@
 // Shares of the fleet's bound that the gates use together. The rest is for
 // requests that a repeated request makes in its turn, which no gate can tell.
 const (
-	ratioShare = 0.7
-	slackShare = 0.5
+	ratioShare = 0.8
+	slackShare = 0.6
 )
 
 // newBudget returns a gate's part of a budget of ratio repeats for each request
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hop"
+	"github.com/cuminwheel/cuminwheel/connection/message"
 	"github.com/cuminwheel/cuminwheel/request/head"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
@@ -358,3 +359,46 @@
 		}
 	})
 }
+
+// loadHeaders says of each answer what the test's header says.
+type loadHeaders struct{ noHeaders }
+
+func (loadHeaders) OfTarget(status int, h http.Header) head.OfTarget {
+	return head.OfTarget{Signed: true, NotRun: h.Get("Not-Run") != ""}
+}
+
+// What the gate learns from answers: a target that sheds has lost nothing, so
+// that a service that sheds as a whole is not withheld from its callers.
+func TestWeigh(t *testing.T) {
+	shed := http.Header{"Not-Run": {"1"}}
+	tests := []struct {
+		name    string
+		answer  message.Answer
+		learned result
+		code    outcome.Code
+	}{
+		{"served", message.Answer{Status: 200, Header: http.Header{}}, resultProved, ""},
+		{"not found", message.Answer{Status: 404, Header: http.Header{}}, resultProved, ""},
+		{"an error", message.Answer{Status: 500, Header: http.Header{}}, resultErred, ""},
+		{"shed", message.Answer{Status: 503, Header: shed}, resultNone, outcome.CodeShed},
+		{"shed by rate", message.Answer{Status: 429, Header: shed}, resultNone, outcome.CodeShed},
+		{"without an id", message.Answer{Status: 400, Header: shed}, resultNone, ""},
+		{"another target", message.Answer{Status: 421, Header: shed}, resultNone, outcome.CodeMisdirected},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := openGate(t)
+			g.options.Headers = loadHeaders{}
+			_, learned, p := g.weigh(&test.answer)
+			is.Equal(learned, test.learned)
+			if test.code == "" {
+				is.True(p == nil)
+				return
+			}
+			is.Equal(p.Code, test.code)
+			is.Equal(p.Outcome, outcome.NotRun)
+			is.Equal(g.State().Open, test.code != outcome.CodeMisdirected)
+		})
+	}
+}
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -46,8 +46,8 @@
 	id := g.options.Headers.Caller(in.Header, in.Arrived).ID
 	gr, problem := g.admit(ctx, ask)
 	if problem != nil {
-		g.options.Logger.Info("gate refused", "request", id, "reason", problem.Code, "repeat", ask.Repeat,
-			"may_fail", ask.MayFail, "left_ms", time.Until(ask.Deadline).Milliseconds())
+		g.options.Logger.Info("gate refused", "request", id, "reason", problem.Code, "priority", ask.Priority,
+			"repeat", ask.Repeat, "may_fail", ask.MayFail, "wait_ms", time.Until(ask.WaitUntil).Milliseconds(), "left_ms", time.Until(ask.Deadline).Milliseconds())
 		return nil, problem
 	}
 	verdict := resultNone
@@ -129,7 +129,8 @@
 	case said.NotRun && a.Status == http.StatusBadRequest:
 		return a, resultNone, nil
 	case said.NotRun:
-		return nil, resultErred, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", a.Status)
+		// Shedding loses nothing, so that it is no reason to withhold work.
+		return nil, resultNone, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", a.Status)
 	case a.Status < http.StatusMultipleChoices && !said.Signed:
 		return nil, resultLost, outcome.Failed(outcome.CodeUnsigned, "the answer bears no proof of the target")
 	case a.Status >= http.StatusInternalServerError:
--- a/process/judgement/trust.go
+++ b/process/judgement/trust.go
@@ -21,12 +21,12 @@
 
 const (
 	// suspectDoubt is the doubt from which a target is suspected: one lost
-	// request is enough, three errors in a row are.
+	// request is enough, four errors in a row are.
 	suspectDoubt = 0.3
 	// lostWeight and errorWeight are the shares of the remaining trust that a
 	// lost request and an answer that is an error take away.
 	lostWeight  = 0.5
-	errorWeight = 0.15
+	errorWeight = 0.1
 	// provenShare of the doubt remains after a success.
 	provenShare = 0.4
 	// doubtHalfLife is the time in which doubt halves by itself. Sickness of
--- a/process/node/meet.go
+++ b/process/node/meet.go
@@ -16,28 +16,34 @@
 )
 
 // meet writes the node's record into the store and reads the others'. From
-// then on nodes tell each other.
+// then on nodes tell each other. A node that starts again reads first: the
+// others were there before it.
 func (n *Node) meet(ctx context.Context) {
-	logger := n.logger.Named("roster")
+	if !n.settings.FirstStart {
+		n.readNodes(ctx)
+	}
 	retry(ctx, func() bool {
 		err := n.around.Meeting.Join(ctx, n.roster.Self())
 		if err != nil {
-			logger.Warn("joining the fleet failed", "reason", err)
+			n.logger.Warn("joining the fleet failed", "reason", err)
 		}
 		return err == nil
 	})
 	pause(ctx, settleTime)
-	retry(ctx, func() bool {
-		records, malformed, err := n.around.Meeting.Nodes(ctx)
-		if err != nil {
-			logger.Warn("reading the fleet's nodes failed", "reason", err)
-			return false
-		}
-		before := n.roster.Version()
-		n.roster.Merge(records)
-		logger.Info("met the fleet", "nodes", len(records), "malformed", malformed, "changed", n.roster.Version() != before)
-		return true
-	})
+	retry(ctx, func() bool { return n.readNodes(ctx) })
+}
+
+// readNodes takes in the records in the store and reports whether it could.
+func (n *Node) readNodes(ctx context.Context) bool {
+	records, malformed, err := n.around.Meeting.Nodes(ctx)
+	if err != nil {
+		n.logger.Warn("reading the fleet's nodes failed", "reason", err)
+		return false
+	}
+	before := n.roster.Version()
+	n.roster.Merge(records)
+	n.logger.Info("met the fleet", "nodes", len(records), "malformed", malformed, "changed", n.roster.Version() != before)
+	return true
 }
 
 // retry repeats a call with growing pauses until it succeeds or ctx ends.
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -268,3 +268,27 @@
 		f.awaitStatus(v, `"configuration_version":5`)
 	}
 }
+
+// After all nodes were killed together, callers are served as soon as the nodes
+// and their targets are back: the store still tells where the others are.
+func TestAllRestartTogether(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	f.publish(1)
+	for _, v := range f.vms {
+		f.awaitStatus(v, `"nodes":4,"gate_open":true`)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, v := range f.vms {
+		v.leave(ctx)
+	}
+	began := time.Now()
+	for _, v := range f.vms {
+		f.startNode(v)
+	}
+	for _, v := range f.vms {
+		f.awaitStatus(v, `"nodes":4`)
+	}
+	is.True(time.Since(began) < 900*time.Millisecond) // before the second read of the store
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -38,6 +38,9 @@
 	// a share of its requests, and a number besides.
 	RetryRatio float64
 	RetrySlack float64
+	// FirstStart means that the whole fleet starts for the first time, so that
+	// no other node is there before this one.
+	FirstStart bool
 	// MemoryBytes is the process's limit; 0 sets none.
 	MemoryBytes int64
 }
