entry, gate: risk by proof, claims keep to one gate, errors retried, budgets grow with time

Change: the cost of a gate is what is lost there on average, from tier, load and the age of the target's last proof; reads that may fail spread, all else goes to the target proved last; claims keep to the first gate of a data centre while it has slots. An idempotent request whose answer is a 5xx is sent to a second target. Retry budgets grow with time as well as with requests and keep a part for urgent requests. Ruled out: more retries for each gate without growth over time (burst of 60 only once); concentrating all requests (nothing proves the other targets).

--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -42,7 +42,8 @@
 		textFlag("store", "127.0.0.1:7100", "address of the platform's store, IP:port"),
 		&cli.DurationFlag{Name: "grace", Value: settings.DefaultGrace, Usage: "how long a leaving node may take", Sources: env("grace")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: settings.DefaultRetryRatio, Usage: "repeated sends for each request, over the fleet", Sources: env("retry-ratio")},
-		&cli.FloatFlag{Name: "retry-slack", Value: settings.DefaultRetrySlack, Usage: "repeated sends besides, over the fleet", Sources: env("retry-slack")},
+		&cli.FloatFlag{Name: "retry-slack", Value: settings.DefaultRetrySlack, Usage: "repeated sends besides, in each window", Sources: env("retry-slack")},
+		&cli.DurationFlag{Name: "retry-window", Value: settings.DefaultRetryWindow, Usage: "window of the bounds on repeated sends", Sources: env("retry-window")},
 	}
 }
 
@@ -56,6 +57,7 @@
 		Region: c.String("region"), DataCentre: c.String("data-centre"),
 		Service: c.String("service"), Target: c.String("target"), Store: c.String("store"),
 		Grace: c.Duration("grace"), RetryRatio: c.Float("retry-ratio"), RetrySlack: c.Float("retry-slack"),
+		RetryWindow: c.Duration("retry-window"),
 	}
 	return s, s.Check()
 }
--- a/connection/hop/hop.go
+++ b/connection/hop/hop.go
@@ -95,6 +95,9 @@
 	// included, and how many it runs at once.
 	Busy  int
 	Slots int
+	// ProvenAt is when the target last gave a whole answer that is no error;
+	// zero if it has not yet.
+	ProvenAt time.Time
 }
 
 // Reply is what a gate says with an answer.
@@ -108,6 +111,9 @@
 func (r Reply) Set(h http.Header, now time.Time) {
 	var b strings.Builder
 	b.WriteString("b=" + strconv.Itoa(r.State.Busy) + ";n=" + strconv.Itoa(r.State.Slots))
+	if !r.State.ProvenAt.IsZero() {
+		b.WriteString(";a=" + millis(now.Sub(r.State.ProvenAt)))
+	}
 	if r.State.Open {
 		b.WriteString(";o=1")
 	}
@@ -135,6 +141,9 @@
 		return Reply{}, ErrMalformed
 	}
 	r := Reply{State: State{Open: f["o"] != "", Suspect: f["q"] != "", Busy: busy, Slots: slots}}
+	if ms, err := strconv.ParseInt(f["a"], 10, 64); err == nil {
+		r.State.ProvenAt = now.Add(-time.Duration(ms) * time.Millisecond)
+	}
 	code := outcome.Code(f["x"])
 	switch {
 	case code == "":
--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -35,8 +35,10 @@
 	node    string
 	address string
 	tier    tier
-	pool    *message.Pool
-	close   func()
+	// rank is the gate's place among those of its service and data centre.
+	rank  int
+	pool  *message.Pool
+	close func()
 
 	mu        sync.Mutex
 	state     hop.State
@@ -49,11 +51,14 @@
 // view is what is believed of a candidate at one moment.
 type view struct {
 	tier    tier
+	rank    int
 	down    bool
 	closed  bool
 	suspect bool
 	// load is the share of the slots that is taken; above 1 requests wait.
 	load float64
+	// provenAgo is how long ago the target proved itself at the latest.
+	provenAgo time.Duration
 	// heardAgo is the age of the belief.
 	heardAgo time.Duration
 }
@@ -61,7 +66,7 @@
 func (c *candidate) view(now time.Time) view {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := view{tier: c.tier, down: now.Before(c.downUntil), heardAgo: now.Sub(c.heardAt)}
+	v := view{tier: c.tier, rank: c.rank, down: now.Before(c.downUntil), heardAgo: now.Sub(c.heardAt), provenAgo: now.Sub(c.state.ProvenAt)}
 	busy, slots := c.asking, 1
 	if v.heardAgo < stateTrust {
 		v.closed = !c.state.Open
@@ -75,6 +80,12 @@
 	return v
 }
 
+func (c *candidate) setRank(rank int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rank = rank
+}
+
 // began and ended count requests on their way to the gate.
 func (c *candidate) began() {
 	c.mu.Lock()
--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -43,35 +43,69 @@
 type request struct {
 	// mayFail requests can be lost to a suspected target and sent again.
 	mayFail bool
+	// once means that the request must not be sent again.
+	once bool
 }
 
+// The costs are shares of a request's worth. A gate is asked before others if
+// what is lost there on average is less.
 const (
-	// tierCost makes a nearer gate win over a farther one with less load.
-	tierCost = 10.0
-	// suspectCost makes sound gates win among those of one tier.
-	suspectCost = 3.0
+	// suspectRisk is the risk at a suspected target, sickShare the share of
+	// targets that are sick at any time, and sickEvery the time scale on which
+	// one turns sick and well again. The last two say how much an old proof of
+	// health is worth; they need only be right in their order of size.
+	suspectRisk = 0.6
+	sickShare   = 0.2
+	sickEvery   = 8 * time.Second
+	// loadCost is the cost of each request a slot.
+	loadCost = 0.05
+	// hopelessCost puts gates last that cannot be reached or take no work.
+	hopelessCost = 2.0
+	// concentrateBelow is the load up to which requests that must run once keep
+	// to the first gate of a data centre, so that one slot of three stays free.
+	// The more often a target is used, the fewer of them meet it first when it
+	// turns sick; all others spread and so prove the rest.
+	concentrateBelow = 0.65
+	rankCost         = 0.03
 	// trialAge is how old the news of a suspected target must be for a request
 	// that may fail to try it first: its gate allows a trial every 200 ms to 1 s.
 	trialAge = 400 * time.Millisecond
+	// tieWidth spreads requests over gates that cost about the same.
+	tieWidth = 0.02
 )
 
+// tierCosts are the costs of an answer's bytes and, between regions, of 120 ms.
+var tierCosts = [...]float64{0, 0.05, 0.4}
+
+// risk is the probability that a request is lost at the target.
+func (v view) risk() float64 {
+	if v.suspect {
+		return suspectRisk
+	}
+	return sickShare * (1 - math.Exp(-float64(v.provenAgo)/float64(sickEvery)))
+}
+
 // cost ranks a gate for a request; the least is asked first. ok is false for a
 // gate that is not asked in this pass.
 func (p pass) cost(v view, r request) (cost float64, ok bool) {
 	if v.tier < p.nearest || v.tier > p.farthest {
 		return 0, false
 	}
-	cost = tierCost*float64(v.tier) + v.load
+	cost = tierCosts[v.tier]
 	if v.down || v.closed {
-		return cost + 2*tierCost, p.hopeful
+		return cost + hopelessCost, p.hopeful
 	}
-	if v.suspect {
-		if r.mayFail && v.heardAgo >= trialAge && v.tier == tierDataCentre {
-			return cost, true
-		}
-		return cost + suspectCost, p.hopeful
+	if r.once && v.load < concentrateBelow {
+		cost += rankCost * float64(v.rank)
+	} else {
+		cost += loadCost * v.load
 	}
-	return cost, true
+	isTrial := v.suspect && r.mayFail && v.heardAgo >= trialAge && v.tier == tierDataCentre
+	if r.mayFail && !v.suspect || isTrial {
+		// It may well meet a sick target, and finds out.
+		return cost, true
+	}
+	return cost + v.risk(), !v.suspect || p.hopeful
 }
 
 // choose returns the index of the view to ask next, or -1. jitter, from 0 to 1,
@@ -92,7 +126,3 @@
 	}
 	return best
 }
-
-// tieWidth spreads requests over gates whose load differs by less than a slot
-// of three.
-const tieWidth = 0.3
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -45,11 +45,15 @@
 func (d *directory) rebuild() {
 	before := d.known
 	d.byService, d.known = map[string][]*candidate{}, map[roster.Record]*candidate{}
+	ranks := map[[2]string]int{}
 	for _, r := range d.nodes.Nodes() {
 		c, ok := before[r]
 		if !ok {
 			c = d.newCandidate(r)
 		}
+		place := [2]string{r.Service, r.DataCentre}
+		c.setRank(ranks[place])
+		ranks[place]++
 		d.known[r] = c
 		d.byService[r.Service] = append(d.byService[r.Service], c)
 	}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hop"
@@ -26,6 +27,9 @@
 	finalSlack = 80 * time.Millisecond
 	// maxAsks bounds how many gates one request asks.
 	maxAsks = 24
+	// maxBudgetRefusals bounds how many gates without a retry left are asked; the
+	// others' shares are used up about as much.
+	maxBudgetRefusals = 4
 	// patienceShare of the time left is given to a target before an idempotent
 	// request is sent to another one as well.
 	patienceShare = 0.5
@@ -48,14 +52,20 @@
 	// open counts the asks without a result yet.
 	open    int
 	results chan result
-	// lostAt holds the gates that failed the request; they are not asked again.
+	// lostAt holds the gates that failed the request or had no retry left; they
+	// are not asked again.
 	lostAt map[*candidate]bool
 	// last is the last problem, unsure the last whose outcome is unknown.
 	last   *outcome.Problem
 	unsure *outcome.Problem
 	// retryAt is the earliest time at which a gate expects room.
 	retryAt time.Time
-	answer  *message.Answer
+	// budgetRefusals counts gates that had no retry left.
+	budgetRefusals int
+	answer         *message.Answer
+	// errored is a target's answer that is an error, kept while another target
+	// may still give a better one.
+	errored *message.Answer
 }
 
 // result is what became of one ask.
@@ -79,6 +89,9 @@
 	for j.answer == nil && j.open > 0 {
 		j.await()
 	}
+	if j.answer == nil {
+		j.answer = j.errored
+	}
 	if j.answer != nil {
 		return j.answer, j.asked, nil
 	}
@@ -132,7 +145,7 @@
 		for i, c := range candidates {
 			views[i] = c.view(now)
 		}
-		i := p.choose(views, func(i int) bool { return tried[i] || j.lostAt[candidates[i]] }, request{mayFail: j.mayFail()}, rand.Float64)
+		i := p.choose(views, func(i int) bool { return tried[i] || j.lostAt[candidates[i]] }, request{mayFail: j.mayFail(), once: !j.call.route.Idempotent}, rand.Float64)
 		if i < 0 {
 			return false
 		}
@@ -159,11 +172,17 @@
 // take records a result and reports whether another gate may be asked.
 func (j *journey) take(r result) (goesOn bool) {
 	j.open--
+	if r.problem == nil && r.answer.Status >= http.StatusInternalServerError && j.call.route.Idempotent {
+		j.errored = r.answer
+		j.lostAt[r.from] = true
+		j.sent++
+		return j.sent+j.open < j.call.route.MaxAttempts
+	}
 	if r.problem == nil {
 		j.answer = r.answer
 		return false
 	}
-	if r.problem.Outcome == outcome.Unknown {
+	if r.problem.Outcome == outcome.Unknown || r.problem.Code == outcome.CodeRetryBudget {
 		j.lostAt[r.from] = true
 	}
 	return j.goesOn(r.problem)
@@ -191,7 +210,10 @@
 			return false
 		}
 	}
-	return j.sent+j.open < j.call.route.MaxAttempts
+	if p.Code == outcome.CodeRetryBudget {
+		j.budgetRefusals++
+	}
+	return j.sent+j.open < j.call.route.MaxAttempts && j.budgetRefusals < maxBudgetRefusals
 }
 
 // conclude returns the problem that the caller gets, or nil after an answer. A
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -35,9 +35,11 @@
 	Headers Headers
 	Logger  hclog.Logger
 	Meter   Meter
-	// RetryRatio and RetrySlack are the fleet's bound on repeated sends.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio, RetrySlack and RetryWindow are the fleet's bound on repeated
+	// sends.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// Gates returns how many gates the service has.
 	Gates func() int
 }
@@ -62,10 +64,15 @@
 func New(o Options) (*Gate, func()) {
 	pool, closePool := message.NewPool(o.Address, dialTimeout)
 	g := &Gate{options: o, pool: pool, target: newTarget(), gates: o.Gates()}
-	g.budget = newBudget(o.RetryRatio, o.RetrySlack, g.gates)
+	g.budget.bound = g.retryBound()
+	g.budget.tokens = g.budget.bound.most
 	return g, closePool
 }
 
+func (g *Gate) retryBound() retryBound {
+	return newRetryBound(g.options.RetryRatio, g.options.RetrySlack, g.options.RetryWindow, g.gates)
+}
+
 // Announce takes in what the target says of itself. When it returns, no
 // draining target is given new work.
 func (g *Gate) Announce(a Announcement) error {
@@ -154,6 +161,8 @@
 		Suspect: g.target.trust.IsSuspect(now),
 		Busy:    g.target.running + len(g.queue.waiters),
 		Slots:   g.target.announced.Slots,
+
+		ProvenAt: g.target.trust.ProvenAt(),
 	}
 }
 
@@ -170,7 +179,7 @@
 		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
 	case !now.Before(a.Deadline):
 		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
-	case a.Repeat && !g.budget.canSpend():
+	case a.Repeat && !g.budget.canSpend(now, a.Priority):
 		return outcome.Refused(outcome.CodeRetryBudget, "too many requests are being sent again")
 	}
 	return nil
@@ -261,7 +270,7 @@
 	if a.Repeat {
 		g.budget.spend()
 	} else {
-		g.budget.earn()
+		g.budget.earn(now)
 	}
 	return grant{began: now, instance: g.target.announced.Instance, trial: trial}
 }
@@ -311,9 +320,7 @@
 	}
 	if n := g.options.Gates(); n != g.gates {
 		g.gates = n
-		tokens := g.budget.tokens
-		g.budget = newBudget(g.options.RetryRatio, g.options.RetrySlack, n)
-		g.budget.tokens = min(tokens, g.budget.most)
+		g.budget.bound = g.retryBound()
 	}
 	g.settle()
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -34,10 +34,11 @@
 	Store string
 	// Grace is how long after SIGTERM the process may run.
 	Grace time.Duration
-	// RetryRatio and RetrySlack bound the fleet's repeated sends to a service:
-	// a share of its requests, and a number besides.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio, RetrySlack and RetryWindow bound the fleet's repeated sends to
+	// a service: in each window a share of its requests, and a number besides.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// FirstStart means that the whole fleet starts for the first time, so that
 	// no other node is there before this one.
 	FirstStart bool
@@ -47,9 +48,10 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultGrace      = 30 * time.Second
-	DefaultRetryRatio = 0.2
-	DefaultRetrySlack = 60
+	DefaultGrace       = 30 * time.Second
+	DefaultRetryRatio  = 0.2
+	DefaultRetrySlack  = 60
+	DefaultRetryWindow = 10 * time.Second
 )
 
 // Fault is one wrong setting.
@@ -112,6 +114,9 @@
 	if s.RetrySlack < 0 {
 		add("retry-slack", "give a number from 0")
 	}
+	if s.RetryWindow <= 0 {
+		add("retry-window", "give a duration above 0")
+	}
 	if len(faults) == 0 {
 		return nil
 	}
