node, gate: callers wait for the roster, cold targets seem busier, margins of leaving

A node that starts again is not ready before it has met the others; a target that is still cold reports one request more; 0.7 s are left for closing before the grace time ends; the memory limit of the settings bounds the heap. Unused fields of answers are gone.

--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,11 +63,18 @@
 	return s, s.Check()
 }
 
+// memoryShare of the process's limit is what the garbage collector works to
+// stay below; the rest is for what it does not count.
+const memoryShare = 0.7
+
 func runNode(ctx context.Context, c *cli.Command) error {
 	s, err := readSettings(c)
 	if err != nil {
 		return usageError(err)
 	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
 	lines, flush := logline.New(os.Stdout)
 	defer flush()
 	logger := newLogger(c, lines)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -148,6 +148,10 @@
 	return "closed"
 }
 
+// coldBusy is what a target that is still slow after its start seems to have more
+// to do than it has, so that others are used first.
+const coldBusy = 1
+
 // State returns what the gate says of itself to entries.
 func (g *Gate) State() hop.State {
 	g.mu.Lock()
@@ -156,7 +160,7 @@
 }
 
 func (g *Gate) state(now time.Time) hop.State {
-	return hop.State{
+	s := hop.State{
 		Open:    g.target.isOpen() && !g.closing,
 		Suspect: g.target.trust.IsSuspect(now),
 		Busy:    g.target.running + len(g.queue.waiters),
@@ -164,6 +168,10 @@
 
 		ProvenAt: g.target.trust.ProvenAt(),
 	}
+	if now.Before(g.target.announced.ColdUntil) {
+		s.Busy += coldBusy
+	}
+	return s
 }
 
 // refusal returns why the ask cannot be served at all now, or nil; mu is held.
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -11,8 +11,9 @@
 	callerTime = 3200 * time.Millisecond
 	// leaveCheck is how often the node looks whether its work has ended.
 	leaveCheck = 50 * time.Millisecond
-	// endMargin before the deadline is left for closing.
-	endMargin = 300 * time.Millisecond
+	// endMargin before the deadline is left for closing, on a VM that may have
+	// used its processor time.
+	endMargin = 700 * time.Millisecond
 	// storeMargin bounds what a leaving node spends on its record in the store.
 	storeMargin = time.Second
 )
--- a/process/node/meet.go
+++ b/process/node/meet.go
@@ -42,6 +42,7 @@
 	}
 	before := n.roster.Version()
 	n.roster.Merge(records)
+	n.met.Store(true)
 	n.logger.Info("met the fleet", "nodes", len(records), "malformed", malformed, "changed", n.roster.Version() != before)
 	return true
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -62,6 +62,9 @@
 	callers *message.Listener
 	entries *message.Listener
 
+	started time.Time
+	// met means that the records of the other nodes have been read.
+	met     atomic.Bool
 	leaving atomic.Bool
 	// cleanups run in reverse order when the node ends.
 	cleanups []func()
@@ -73,7 +76,7 @@
 // work at the gate, serves what callers have sent, and ends by the deadline of
 // its context.
 func Start(s settings.Settings, around Surroundings, logger hclog.Logger) (*Node, func(context.Context), error) {
-	n := &Node{settings: s, logger: logger, around: around, meter: newMeter()}
+	n := &Node{settings: s, logger: logger, around: around, meter: newMeter(), started: time.Now()}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	if err := n.start(ctx); err != nil {
--- a/process/node/serve.go
+++ b/process/node/serve.go
@@ -11,9 +11,15 @@
 	"github.com/labstack/echo/v4"
 )
 
-// isReady reports whether the node takes callers.
+// meetPatience is how long a node that finds no other keeps callers away. It may
+// be the only one.
+const meetPatience = 3 * time.Second
+
+// isReady reports whether the node takes callers: it must know a configuration
+// and other nodes.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.current.Configuration().Version > 0
+	hasMet := n.met.Load() || len(n.roster.Nodes()) > 1 || time.Since(n.started) > meetPatience
+	return !n.leaving.Load() && n.current.Configuration().Version > 0 && hasMet
 }
 
 func (n *Node) readiness() http.Handler {
--- a/request/head/head.go
+++ b/request/head/head.go
@@ -29,13 +29,4 @@
 	Signed bool
 	// NotRun means that the target did not run the request.
 	NotRun bool
-	// Load is what the target says of its load, if it does.
-	Load *Load
-}
-
-// Load is a target's own account of its load.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
 }
--- a/version/configuration/configuration.go
+++ b/version/configuration/configuration.go
@@ -20,7 +20,8 @@
 // Service is a set of targets that do the same work.
 type Service struct {
 	Name string
-	// HealthPath answers whether a target thinks that it is healthy.
+	// HealthPath answers whether a target thinks that it is healthy. Nodes do
+	// not ask, since targets with gray failures say that they are.
 	HealthPath string
 	// MaxConnections is how many connections one target takes, from all.
 	MaxConnections int
