entry: a hedged gate that lost is not taken for unreachable

Change: the end of the losing ask has a reason of its own, which blames nobody. Test: TestSlowerGateIsNotLost, failing before.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -80,8 +80,10 @@
 
 // dispatch asks gates until one gives the request's outcome.
 func (e *Entry) dispatch(ctx context.Context, c *call) (*message.Answer, int, *outcome.Problem) {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(finalSlack))
-	defer cancel()
+	ctx, cancelTimeout := context.WithDeadline(ctx, c.deadline.Add(finalSlack))
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
 	// Each ask has one result and may be slow once before.
 	j := &journey{call: c, results: make(chan result, 2*maxAsks), lostAt: map[*candidate]bool{}}
 	e.rounds(ctx, j)
@@ -328,6 +330,9 @@
 			return outcome.Failed(outcome.CodeCallerGone, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerGone, "the caller left")
+	case errors.Is(cause, errAnswered):
+		// This says nothing about the gate, and nobody reads it.
+		return outcome.Failed(outcome.CodeCallerGone, "%v", errAnswered)
 	case errors.Is(cause, context.DeadlineExceeded) && granted:
 		return outcome.Failed(outcome.CodeTimeout, "the deadline has passed")
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -156,5 +156,8 @@
 	return p
 }
 
-// errSilent ends an ask whose gate said nothing.
-var errSilent = errors.New("the gate gave no sign of life")
+// Reasons for which an entry ends an ask.
+var (
+	errSilent   = errors.New("the gate gave no sign of life")
+	errAnswered = errors.New("another gate has answered the request")
+)
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -212,6 +212,21 @@
 	}
 }
 
+// A gate that is only slower than another is not taken for one that cannot be
+// reached.
+func TestSlowerGateIsNotLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, stalls, serves("b"))
+	is.Equal(string(f.call(t, "/read/").Body), "b")
+	for range 100 { // until the ask that lost has ended
+		if c := f.entry.directory.candidates("s")[0]; c.view(time.Now()).load == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(!f.entry.directory.candidates("s")[0].view(time.Now()).down)
+}
+
 // When no configuration is known, callers are told to come back, not that there
 // is no route.
 func TestWithoutConfiguration(t *testing.T) {
