--- a/cmd/cuminwheel/main.go
+++ b/cmd/cuminwheel/main.go
@@ -68,6 +68,7 @@
 			statusCommand(),
 			standinCommand(),
 			experimentCommand(),
+			soakCommand(),
 		},
 	}
 }
--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -33,6 +33,8 @@
 		textFlag("entry", "127.0.0.1:7000", "address for callers, IP:port"),
 		textFlag("gate", "127.0.0.1:7001", "address for requests of other nodes, IP:port"),
 		textFlag("control", "127.0.0.1:7002", "address for control calls of other nodes, IP:port"),
+		textFlag("reached-gate", "", "address at which other nodes reach --gate, if another"),
+		textFlag("reached-control", "", "address at which other nodes reach --control, if another"),
 		textFlag("admin", "127.0.0.1:7003", "address for the target beside the node, IP:port"),
 		textFlag("ready", "127.0.0.1:7004", "address for questions whether the node takes callers, IP:port"),
 		textFlag("metrics", "127.0.0.1:7005", "address for metrics and status, IP:port"),
@@ -55,6 +57,7 @@
 	s := settings.Settings{
 		Name: c.String("control"), Entry: c.String("entry"), Gate: c.String("gate"), Control: c.String("control"),
 		Admin: c.String("admin"), Ready: c.String("ready"), Metrics: c.String("metrics"),
+		ReachedGate: c.String("reached-gate"), ReachedControl: c.String("reached-control"),
 		Region: c.String("region"), DataCentre: c.String("data-centre"),
 		Service: c.String("service"), Target: c.String("target"), Store: c.String("store"),
 		Grace: c.Duration("grace"), RetryRatio: c.Float("retry-ratio"), RetrySlack: c.Float("retry-slack"),
--- a/cmd/cuminwheel/standin_target.go
+++ b/cmd/cuminwheel/standin_target.go
@@ -47,6 +47,7 @@
 	defer stopAnnouncing()
 	go a.Run(announcing)
 	s := target.New(a.Instance, a.Service, a.Slots, c.Duration("work"), ranFile)
+	a.OnConfirmed = s.Closed
 	return serveUntil(ctx, a.Address, s.Handler(), func() {
 		stopAnnouncing()
 		if err := a.Leave(context.Background()); err != nil {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -92,7 +93,7 @@
 	s := n.settings
 	n.current = follower.NewCurrent(n.around.Decode, n.logger.Named("configuration"))
 	n.roster = roster.New(roster.Record{
-		Node: s.Control, Gate: s.Gate, Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
+		Node: cmp.Or(s.ReachedControl, s.Control), Gate: cmp.Or(s.ReachedGate, s.Gate), Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
 		Issue: time.Now().UnixMilli(),
 	})
 	pool, closePool := link.NewPool()
--- a/process/node/serve.go
+++ b/process/node/serve.go
@@ -42,6 +42,7 @@
 // status is what /status shows.
 type status struct {
 	Node          string `json:"node"`
+	Started       int64  `json:"started_ms"`
 	Ready         bool   `json:"ready"`
 	Leaving       bool   `json:"leaving"`
 	Configuration uint64 `json:"configuration_version"`
@@ -63,7 +64,7 @@
 	e.GET("/status", func(c echo.Context) error {
 		s := n.gate.State()
 		return c.JSON(http.StatusOK, status{
-			Node: n.settings.Name, Ready: n.isReady(), Leaving: n.leaving.Load(),
+			Node: n.settings.Name, Started: n.started.UnixMilli(), Ready: n.isReady(), Leaving: n.leaving.Load(),
 			Configuration: n.current.Configuration().Version, Nodes: len(n.roster.Nodes()),
 			GateOpen: s.Open, Suspect: s.Suspect, Busy: s.Busy, Slots: s.Slots,
 		})
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -23,6 +23,10 @@
 	Admin   string
 	// Metrics is an address for metrics and status.
 	Metrics string
+	// ReachedGate and ReachedControl are where other nodes reach Gate and
+	// Control, if not at these addresses themselves.
+	ReachedGate    string
+	ReachedControl string
 	// Region and DataCentre say where the VM stands.
 	Region     string
 	DataCentre string
@@ -97,6 +101,14 @@
 			taken[a.value] = a.setting
 		}
 	}
+	for _, a := range []struct{ setting, value string }{{"reached-gate", s.ReachedGate}, {"reached-control", s.ReachedControl}} {
+		if a.value == "" {
+			continue
+		}
+		if err := checkAddress(a.value); err != nil {
+			add(a.setting, err.Error())
+		}
+	}
 	names := []struct{ setting, value string }{
 		{"region", s.Region}, {"data-centre", s.DataCentre}, {"service", s.Service},
 	}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -8,6 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/cuminwheel/cuminwheel/standin/target"
 	"github.com/go-faster/errors"
 )
 
@@ -36,12 +37,14 @@
 	Lost int `json:"lost"`
 	// FalseNotRun requests were said not to have run and ran.
 	FalseNotRun int `json:"false_not_run"`
+	// Late requests began at a target that had said that it drains.
+	Late int `json:"late"`
 }
 
 // IsSound reports whether nothing was doubled, lost, foreign or falsely said
 // not to have run.
 func (r Report) IsSound() bool {
-	return r.Doubled == 0 && r.Lost == 0 && r.Foreign == 0 && r.FalseNotRun == 0
+	return r.Doubled == 0 && r.Lost == 0 && r.Foreign == 0 && r.FalseNotRun == 0 && r.Late == 0
 }
 
 const microsPerMilli = 1000
@@ -60,6 +63,7 @@
 func (l *Load) Audit(r Report, ran map[string]int) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r.Late = ran[target.LateID]
 	for id, f := range l.told {
 		if f.claim {
 			r.Claims++
@@ -105,7 +109,7 @@
 		{"short or foreign answers", r.Foreign},
 		{"p50 ms", r.P50Millis}, {"p99 ms", r.P99Millis}, {"max ms", r.MaxMillis},
 		{"claims", r.Claims}, {"claims doubled", r.Doubled}, {"requests lost", r.Lost},
-		{"falsely called not run", r.FalseNotRun},
+		{"falsely called not run", r.FalseNotRun}, {"begun at a drained target", r.Late},
 	}
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
--- a/standin/target/announcer.go
+++ b/standin/target/announcer.go
@@ -24,6 +24,8 @@
 	// DrainTime is how long the target serves after the node has confirmed that
 	// it is leaving.
 	DrainTime time.Duration
+	// OnConfirmed is called when the node has confirmed that the target drains.
+	OnConfirmed func()
 
 	mu       sync.Mutex
 	sequence int64
@@ -53,6 +55,9 @@
 	if err := a.announce(ctx, "draining"); err != nil {
 		return err
 	}
+	if a.OnConfirmed != nil {
+		a.OnConfirmed()
+	}
 	time.Sleep(a.DrainTime)
 	return a.post(ctx, "instances.deregister", map[string]any{"born": a.Born.UnixMilli()})
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -59,6 +59,8 @@
 
 	mu     sync.Mutex
 	faults Faults
+	// closedAt is when the node confirmed that the target drains.
+	closedAt time.Time
 	// ran gets a line with its id for each request that begins to run.
 	ran io.Writer
 }
@@ -230,9 +232,26 @@
 	}
 }
 
+// LateID is noted for each request that begins when it should not any more.
+const LateID = "late"
+
+// lateAfter is how long after the confirmation a request may still arrive that
+// was on its way.
+const lateAfter = 500 * time.Millisecond
+
+// Closed tells that the node has just confirmed that the target drains.
+func (s *Server) Closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closedAt = time.Now()
+}
+
 func (s *Server) begin(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.closedAt.IsZero() && time.Since(s.closedAt) > lateAfter {
+		fmt.Fprintln(s.ran, LateID)
+	}
 	fmt.Fprintln(s.ran, id)
 }
 
