message, node, entry: a leaving node takes nothing more after 3 s; nearby waits before other regions

Change: (1) Listener.Stop: after 3 s no connection and no request is taken, what was read is answered. (2) A request waits nearby for up to a third of its time left before a gate of another region is asked. Ruled out: a longer grace of our own (the platform kills at 6 s).

--- a/connection/message/listener.go
+++ b/connection/message/listener.go
@@ -39,6 +39,7 @@
 	// ErrCallerGone means that the caller closed its connection.
 	ErrCallerGone = errors.New("the caller closed the connection")
 	errAborted    = errors.New("the answer was aborted")
+	errStopped    = errors.New("the listener takes no further request")
 )
 
 // Limits bound what a caller may send. They are read anew for each request.
@@ -92,6 +93,7 @@
 	limits   func() Limits
 	logger   hclog.Logger
 	draining atomic.Bool
+	stopped  atomic.Bool
 	mu       sync.Mutex
 	conns    map[*serverConn]bool
 	done     sync.WaitGroup
@@ -143,6 +145,15 @@
 // Drain makes each connection close with its next answer.
 func (l *Listener) Drain() { l.draining.Store(true) }
 
+// Stop takes no further connection and no further request; what has been read is
+// answered. What is not read is left for its caller to send elsewhere.
+func (l *Listener) Stop() {
+	l.draining.Store(true)
+	l.stopped.Store(true)
+	l.listener.Close()
+	l.closeIdle()
+}
+
 // Busy returns how many requests have been read and not answered.
 func (l *Listener) Busy() int {
 	l.mu.Lock()
@@ -154,8 +165,8 @@
 	return n
 }
 
-// CloseIdle closes the connections that carry no request.
-func (l *Listener) CloseIdle() {
+// closeIdle closes the connections that carry no request.
+func (l *Listener) closeIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
@@ -195,7 +206,7 @@
 func (c *serverConn) take() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.listener.stopped.Load() {
 		return false
 	}
 	c.open++
@@ -297,6 +308,9 @@
 		head.left = unlimited
 		p := &pending{method: hr.Method, closes: hr.Close, done: make(chan *Answer, 1)}
 		if !c.take() {
+			if c.openCount() == 0 {
+				return errStopped
+			}
 			return c.waitForEnd(br)
 		}
 		select {
--- a/connection/message/message_test.go
+++ b/connection/message/message_test.go
@@ -156,6 +156,35 @@
 	is.Equal(err, io.EOF)
 }
 
+// After Stop what was read is answered, and neither a connection nor a request is
+// taken.
+func TestStopLeavesTheRestUnread(t *testing.T) {
+	is := is.New(t)
+	release, began := make(chan struct{}), make(chan struct{})
+	handled := 0
+	l := listen(t, func(ctx context.Context, in *Incoming) *Answer {
+		handled++
+		close(began) // panics if a second request is handled
+		return echoPath(release)(ctx, in)
+	})
+	idle, idleReader := dial(t, l.Address())
+	conn, r := dial(t, l.Address())
+	io.WriteString(conn, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	l.Stop()
+	_, err := idleReader.ReadByte()
+	is.Equal(err, io.EOF)
+	io.WriteString(idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	io.WriteString(conn, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = net.Dial("tcp", l.Address())
+	is.True(err != nil)
+	close(release)
+	res, body := readAnswer(t, r)
+	is.Equal(body, "/wait")
+	is.True(res.Close)
+	is.Equal(handled, 1)
+}
+
 // A request that awaits its grant reaches the handler before its body, and the
 // body comes only after the grant.
 func TestGrant(t *testing.T) {
@@ -335,7 +364,7 @@
 	is.True(!use(time.Minute))
 	is.True(use(time.Minute))
 	is.True(!use(0)) // too long idle
-	l.CloseIdle()
+	l.closeIdle()
 	for range 100 { // until the close has arrived
 		if !pool.idle[0].isQuiet() {
 			break
--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -25,8 +25,8 @@
 var passes = []pass{
 	{nearest: tierDataCentre, farthest: tierRegion, asks: 6},
 	{nearest: tierDataCentre, farthest: tierRegion, aimShare: 0.25, leftShare: 0.1, asks: 2},
+	{nearest: tierDataCentre, farthest: tierRegion, leftShare: 0.35, asks: 2},
 	{nearest: tierRemote, farthest: tierRemote, aimShare: 0.1, needs: remoteNeeds, asks: 2},
-	{nearest: tierDataCentre, farthest: tierRegion, leftShare: 0.5, asks: 2},
 	{nearest: tierDataCentre, farthest: tierRemote, leftShare: 0.5, asks: 4, hopeful: true},
 }
 
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -8,7 +8,7 @@
 const (
 	// callerTime is how long callers may still come after the node has said
 	// that it leaves: the platform asks each second and believes two misses.
-	callerTime = 3200 * time.Millisecond
+	callerTime = 3 * time.Second
 	// leaveCheck is how often the node looks whether its work has ended.
 	leaveCheck = 50 * time.Millisecond
 	// endMargin before the deadline is left for closing, on a VM that may have
@@ -35,14 +35,14 @@
 		deadline = began.Add(n.settings.Grace)
 	}
 	deadline = deadline.Add(-endMargin)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		isQuiet := n.callers.Busy() == 0 && n.entries.Busy() == 0 && n.gate.Running() == 0
-		if isQuiet && time.Since(began) >= callerTime {
-			break
-		}
+	isQuiet := func() bool { return n.callers.Busy() == 0 && n.entries.Busy() == 0 && n.gate.Running() == 0 }
+	pause(ctx, time.Until(began.Add(callerTime)))
+	// Callers that come later still, since too few other nodes are ready, could
+	// not be answered before the deadline.
+	n.callers.Stop()
+	for time.Now().Before(deadline) && ctx.Err() == nil && !isQuiet() {
 		pause(ctx, leaveCheck)
 	}
-	n.callers.CloseIdle()
 	n.logger.Info("node stopped", "after_ms", time.Since(began).Milliseconds(),
 		"requests_left", n.callers.Busy(), "gate_requests_left", n.entries.Busy())
 	n.stop()
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -162,13 +162,17 @@
 
 // load sends requests for a while; during is called in the middle.
 func (f *fleet) load(entries []*vm, during func()) caller.Report {
+	return f.loadFor(3*time.Second, entries, during)
+}
+
+func (f *fleet) loadFor(length time.Duration, entries []*vm, during func()) caller.Report {
 	var addresses []string
 	for _, v := range entries {
 		addresses = append(addresses, v.settings.Entry)
 	}
 	l, closeLoad := caller.New(caller.Plan{
 		Entries: addresses, Host: "h", Paths: []string{"/read/a"}, ClaimPaths: []string{"/claim/a"}, ClaimShare: 0.5,
-		Rate: 150, Until: time.Now().Add(3 * time.Second), Timeout: 1500 * time.Millisecond, MaxInFlight: 200, Seed: 1,
+		Rate: 150 / 3 * float64(len(entries)), Until: time.Now().Add(length), Timeout: 1500 * time.Millisecond, MaxInFlight: 200, Seed: 1,
 	})
 	defer closeLoad()
 	done := make(chan caller.Report, 1)
@@ -247,6 +251,31 @@
 	<-left
 }
 
+// Callers that keep coming to a leaving node, as they do when too few others are
+// ready, get answers to all that is read; the rest is refused a connection.
+func TestLeavingUnderLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	f.publish(1)
+	for _, v := range f.vms {
+		f.awaitStatus(v, `"nodes":3,"gate_open":true`)
+	}
+	for _, v := range f.vms { // requests last long
+		v.target.SetFaults(target.Faults{SlowFactor: 40})
+	}
+	left := make(chan struct{})
+	r := f.loadFor(5*time.Second, f.vms[:1], func() {
+		go func() {
+			f.vms[0].leave(context.Background())
+			close(left)
+		}()
+	})
+	<-left
+	is.True(r.IsSound())
+	is.True(r.NoResponse > 0) // they came after the node had gone
+	is.Equal(r.Cut, 0)
+}
+
 // A node that starts while the store is away learns the configuration and the
 // fleet from the others.
 func TestRestartWithoutStore(t *testing.T) {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -53,6 +53,7 @@
 	claim    bool
 	answered bool
 	notRun   bool
+	cut      bool
 }
 
 // Bounds of the latency histogram, in µs.
@@ -143,6 +144,7 @@
 	defer func() { l.told[s.id] = f }()
 	if err != nil {
 		l.report.NoResponse++
+		f.cut = true
 		return
 	}
 	code := res.Header.Get(outcome.HeaderCode)
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -37,6 +37,8 @@
 	Lost int `json:"lost"`
 	// FalseNotRun requests were said not to have run and ran.
 	FalseNotRun int `json:"false_not_run"`
+	// Cut requests ran and got no response at all.
+	Cut int `json:"cut"`
 	// Late requests began at a target that had said that it drains.
 	Late int `json:"late"`
 }
@@ -74,6 +76,8 @@
 			r.Doubled++
 		case n == 0 && f.answered:
 			r.Lost++
+		case n > 0 && f.cut:
+			r.Cut++
 		case n > 0 && f.notRun:
 			r.FalseNotRun++
 		}
@@ -109,7 +113,7 @@
 		{"short or foreign answers", r.Foreign},
 		{"p50 ms", r.P50Millis}, {"p99 ms", r.P99Millis}, {"max ms", r.MaxMillis},
 		{"claims", r.Claims}, {"claims doubled", r.Doubled}, {"requests lost", r.Lost},
-		{"falsely called not run", r.FalseNotRun}, {"begun at a drained target", r.Late},
+		{"run and got no response", r.Cut}, {"falsely called not run", r.FalseNotRun}, {"begun at a drained target", r.Late},
 	}
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
