message, node, gate: what is ready is delivered at the end, shedding targets seem full

(2) A target that sheds looks idle; node.TestFleet failed once with 309 of 450 requests served. Change: (1) Listener.End ends the contexts of what is left, handlers return what they have, all is written in order. (2) A target that has shed seems full for a second. Ruled out: closing sooner (cuts more), doubting targets that shed (a service that sheds as a whole is then withheld).

--- a/connection/message/listener.go
+++ b/connection/message/listener.go
@@ -38,8 +38,10 @@
 	errBodyTooLarge = errors.New("the request's body is too large")
 	// ErrCallerGone means that the caller closed its connection.
 	ErrCallerGone = errors.New("the caller closed the connection")
-	errAborted    = errors.New("the answer was aborted")
-	errStopped    = errors.New("the listener takes no further request")
+	// ErrEnding means that the listener ends the requests in progress.
+	ErrEnding  = errors.New("the node is ending")
+	errAborted = errors.New("the answer was aborted")
+	errStopped = errors.New("the listener takes no further request")
 )
 
 // Limits bound what a caller may send. They are read anew for each request.
@@ -94,9 +96,12 @@
 	logger   hclog.Logger
 	draining atomic.Bool
 	stopped  atomic.Bool
-	mu       sync.Mutex
-	conns    map[*serverConn]bool
-	done     sync.WaitGroup
+	// ctx ends when the requests in progress have to end.
+	ctx   context.Context
+	end   context.CancelCauseFunc
+	mu    sync.Mutex
+	conns map[*serverConn]bool
+	done  sync.WaitGroup
 }
 
 // Listen serves the address until the returned function is called, which closes
@@ -106,7 +111,10 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	l := &Listener{listener: nl, handler: handler, limits: limits, logger: logger, conns: map[*serverConn]bool{}}
+	ctx, end := context.WithCancelCause(context.Background())
+	l := &Listener{
+		listener: nl, handler: handler, limits: limits, logger: logger, conns: map[*serverConn]bool{}, ctx: ctx, end: end,
+	}
 	l.done.Add(1)
 	go l.accept()
 	return l, l.close, nil
@@ -154,6 +162,10 @@
 	l.closeIdle()
 }
 
+// End ends the contexts of the requests in progress with ErrEnding. Handlers
+// return what they have, and it is written in the order of the requests.
+func (l *Listener) End() { l.end(ErrEnding) }
+
 // Busy returns how many requests have been read and not answered.
 func (l *Listener) Busy() int {
 	l.mu.Lock()
@@ -253,7 +265,7 @@
 }
 
 func (c *serverConn) serve() {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(c.listener.ctx)
 	defer c.conn.Close()
 	written := make(chan struct{})
 	go func() {
--- a/connection/message/message_test.go
+++ b/connection/message/message_test.go
@@ -185,6 +185,31 @@
 	is.Equal(handled, 1)
 }
 
+// End lets requests in progress return what they have, and the answers that wait
+// behind them on their connection are written.
+func TestEndWritesWhatIsReady(t *testing.T) {
+	is := is.New(t)
+	ready := make(chan struct{})
+	l := listen(t, func(ctx context.Context, in *Incoming) *Answer {
+		if in.Path == "/slow" {
+			<-ctx.Done()
+			is.True(errors.Is(context.Cause(ctx), ErrEnding))
+		} else {
+			close(ready)
+		}
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: []byte(in.Path)}
+	})
+	conn, r := dial(t, l.Address())
+	io.WriteString(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-ready
+	l.Stop()
+	l.End()
+	_, body := readAnswer(t, r)
+	is.Equal(body, "/slow")
+	_, body = readAnswer(t, r)
+	is.Equal(body, "/ready")
+}
+
 // A request that awaits its grant reaches the handler before its body, and the
 // body comes only after the grant.
 func TestGrant(t *testing.T) {
--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -7,8 +7,8 @@
 
 // pass is one round of asking gates. A request goes through the passes until a
 // gate grants it a slot: first to gates nearby that have a slot now, then it
-// waits a little nearby, then it crosses regions if there is time, and in the
-// end it waits wherever there is room before its deadline.
+// waits nearby, a little and then longer, then it crosses regions if there is
+// time, and in the end it waits wherever there is room before its deadline.
 type pass struct {
 	nearest, farthest tier
 	// aimShare and leftShare bound the wait for a slot: a share of the target
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -330,6 +330,10 @@
 			return outcome.Failed(outcome.CodeCallerGone, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerGone, "the caller left")
+	case errors.Is(cause, message.ErrEnding) && granted:
+		return outcome.Failed(outcome.CodeTimeout, "%v", message.ErrEnding)
+	case errors.Is(cause, message.ErrEnding):
+		return outcome.Refused(outcome.CodeDraining, "%v", message.ErrEnding)
 	case errors.Is(cause, errAnswered):
 		// This says nothing about the gate, and nobody reads it.
 		return outcome.Failed(outcome.CodeCallerGone, "%v", errAnswered)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -148,6 +148,10 @@
 	return "closed"
 }
 
+// shedMemory is how long a target that has refused a request by itself seems to
+// be full: refusing is quick, so that it would seem idle and attract more.
+const shedMemory = time.Second
+
 // coldBusy is what a target that is still slow after its start seems to have more
 // to do than it has, so that others are used first.
 const coldBusy = 1
@@ -171,6 +175,9 @@
 	if now.Before(g.target.announced.ColdUntil) {
 		s.Busy += coldBusy
 	}
+	if now.Sub(g.target.shedAt) < shedMemory {
+		s.Busy += s.Slots
+	}
 	return s
 }
 
@@ -310,6 +317,8 @@
 	// resultNone says nothing: the request was not sent, or its caller left.
 	resultNone result = iota
 	resultProved
+	// resultShed means that the target refused the request by itself.
+	resultShed
 	resultErred
 	resultLost
 )
@@ -339,6 +348,8 @@
 	case resultProved:
 		g.target.trust.Proved(now)
 		g.target.took(now.Sub(gr.began))
+	case resultShed:
+		g.target.shedAt = now
 	case resultErred:
 		g.target.trust.Erred(now)
 	case resultLost:
@@ -351,5 +362,5 @@
 }
 
 func (r result) String() string {
-	return [...]string{"none", "proved", "erred", "lost"}[r]
+	return [...]string{"none", "proved", "shed", "erred", "lost"}[r]
 }
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -130,7 +130,7 @@
 		return a, resultNone, nil
 	case said.NotRun:
 		// Shedding loses nothing, so that it is no reason to withhold work.
-		return nil, resultNone, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", a.Status)
+		return nil, resultShed, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", a.Status)
 	case a.Status < http.StatusMultipleChoices && !said.Signed:
 		return nil, resultLost, outcome.Failed(outcome.CodeUnsigned, "the answer bears no proof of the target")
 	case a.Status >= http.StatusInternalServerError:
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -18,6 +18,8 @@
 	heardAt time.Time
 	// rival is the last announcement of a start that seems to be an older one.
 	rival Announcement
+	// shedAt is when the target last refused a request by itself.
+	shedAt time.Time
 	// running counts the slots that are taken.
 	running int
 	// serviceTime is the mean time of a request, exponentially weighted.
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -13,7 +13,9 @@
 	leaveCheck = 50 * time.Millisecond
 	// endMargin before the deadline is left for closing, on a VM that may have
 	// used its processor time.
-	endMargin = 700 * time.Millisecond
+	endMargin = 800 * time.Millisecond
+	// endTime is given to requests that have to end with what there is.
+	endTime = 200 * time.Millisecond
 	// storeMargin bounds what a leaving node spends on its record in the store.
 	storeMargin = time.Second
 )
@@ -43,6 +45,14 @@
 	for time.Now().Before(deadline) && ctx.Err() == nil && !isQuiet() {
 		pause(ctx, leaveCheck)
 	}
+	if !isQuiet() {
+		// An answer that waits for a slower one on its connection is not lost.
+		n.callers.End()
+		n.entries.End()
+		for until := time.Now().Add(endTime); time.Now().Before(until) && !isQuiet(); {
+			pause(ctx, leaveCheck)
+		}
+	}
 	n.logger.Info("node stopped", "after_ms", time.Since(began).Milliseconds(),
 		"requests_left", n.callers.Busy(), "gate_requests_left", n.entries.Busy())
 	n.stop()
