--- a/connection/message/answer.go
+++ b/connection/message/answer.go
@@ -47,3 +47,8 @@
 	}
 	w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\n")
 }
+
+// Plain returns an answer of the node's own with a line of text.
+func Plain(status int, text string) *Answer {
+	return &Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(text + "\n")}
+}
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -411,7 +411,7 @@
 // loadHeaders says of each answer what the test's header says.
 type loadHeaders struct{ noHeaders }
 
-func (loadHeaders) OfTarget(status int, h http.Header) head.OfTarget {
+func (loadHeaders) OfTarget(_ int, h http.Header) head.OfTarget {
 	return head.OfTarget{Signed: true, NotRun: h.Get("Not-Run") != ""}
 }
 
