--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -251,6 +252,28 @@
 	<-left
 }
 
+// Counters and histograms are served at both addresses.
+func TestMetricsAreServed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	f.publish(1)
+	for _, v := range f.vms {
+		f.awaitStatus(v, `"nodes":2,"gate_open":true`)
+	}
+	f.loadFor(200*time.Millisecond, f.vms, func() {})
+	for _, address := range []string{f.vms[0].settings.Admin, f.vms[0].settings.Metrics} {
+		res, err := http.Get("http://" + address + "/metrics")
+		is.NoErr(err)
+		b, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		res.Body.Close()
+		for _, name := range []string{"cuminwheel_requests_total{", "cuminwheel_request_seconds_bucket{", "cuminwheel_asks_total{",
+			"cuminwheel_configuration_version 1", "cuminwheel_known_nodes 2"} {
+			is.True(strings.Contains(string(b), name))
+		}
+	}
+}
+
 // Callers that keep coming to a leaving node, as they do when too few others are
 // ready, get answers to all that is read; the rest is refused a connection.
 func TestLeavingUnderLoad(t *testing.T) {
--- a/process/node/serve.go
+++ b/process/node/serve.go
@@ -36,6 +36,7 @@
 func (n *Node) admin() http.Handler {
 	e := echo.New()
 	e.POST(n.around.AnnouncementPath, echo.WrapHandler(n.around.Announcements(n.gate, n.logger.Named("announcement"))))
+	e.GET("/metrics", n.writeMetrics)
 	return e
 }
 
@@ -55,12 +56,7 @@
 
 func (n *Node) metrics() http.Handler {
 	e := echo.New()
-	e.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
-		n.meter.set.WritePrometheus(c.Response())
-		metrics.WriteProcessMetrics(c.Response())
-		return nil
-	})
+	e.GET("/metrics", n.writeMetrics)
 	e.GET("/status", func(c echo.Context) error {
 		s := n.gate.State()
 		return c.JSON(http.StatusOK, status{
@@ -72,6 +68,13 @@
 	return e
 }
 
+func (n *Node) writeMetrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+	n.meter.set.WritePrometheus(c.Response())
+	metrics.WriteProcessMetrics(c.Response())
+	return nil
+}
+
 const (
 	// httpTimeout bounds reading and answering a request to the node itself.
 	httpTimeout     = 5 * time.Second
