node: a further SIGTERM begins the grace time anew

Cause: releases that overlap can send a second SIGTERM; until now it ended the node at once and cut what was in progress. Change: LeaveBy moves the deadline, never back; a second interrupt ends at once. 0.5 s instead of 0.8 s are kept for closing.

--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -83,7 +83,10 @@
 	logger := newLogger(c, lines)
 	store, closeStore := platform.NewStore(s.Store)
 	defer closeStore()
-	_, leave, err := node.Start(s, node.Surroundings{
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	n, leave, err := node.Start(s, node.Surroundings{
 		Headers:        platform.Headers{},
 		Decode:         platform.DecodeConfiguration,
 		Configurations: platform.NewConfigurations(store),
@@ -110,15 +113,35 @@
 		}
 		break
 	}
-	// A second signal ends the node at once.
-	limit, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	limit, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	limit, cancelTimeout := context.WithDeadline(limit, time.Now().Add(s.Grace))
-	defer cancelTimeout()
+	go followSignals(limit, signals, n, s.Grace, cancel, logger)
 	leave(limit)
 	return nil
 }
 
+// followSignals takes in the signals that come to a leaving node: a further
+// SIGTERM begins the grace time anew, a second interrupt ends the node at once.
+func followSignals(ctx context.Context, signals <-chan os.Signal, n *node.Node, grace time.Duration, endNow func(), logger hclog.Logger) {
+	interrupts := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == os.Interrupt {
+				interrupts++
+			}
+			if interrupts > 1 {
+				endNow()
+				return
+			}
+			n.LeaveBy(time.Now().Add(grace))
+			logger.Info("signal taken while leaving", "signal", s)
+		}
+	}
+}
+
 // reload reads the settings again and tells what changed.
 func reload(c *cli.Command, before settings.Settings, logger hclog.Logger) {
 	after, err := readSettings(c)
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -13,7 +13,7 @@
 	leaveCheck = 50 * time.Millisecond
 	// endMargin before the deadline is left for closing, on a VM that may have
 	// used its processor time.
-	endMargin = 800 * time.Millisecond
+	endMargin = 500 * time.Millisecond
 	// endTime is given to requests that have to end with what there is.
 	endTime = 200 * time.Millisecond
 	// storeMargin bounds what a leaving node spends on its record in the store.
@@ -32,17 +32,13 @@
 	if n.gate.HasLeft() {
 		n.run(func() { n.sayGoodbye(ctx) })
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = began.Add(n.settings.Grace)
-	}
-	deadline = deadline.Add(-endMargin)
+	n.LeaveBy(began.Add(n.settings.Grace))
 	isQuiet := func() bool { return n.callers.Busy() == 0 && n.entries.Busy() == 0 && n.gate.Running() == 0 }
 	pause(ctx, time.Until(began.Add(callerTime)))
 	// Callers that come later still, since too few other nodes are ready, could
 	// not be answered before the deadline.
 	n.callers.Stop()
-	for time.Now().Before(deadline) && ctx.Err() == nil && !isQuiet() {
+	for time.Now().Before(n.leaveBy()) && ctx.Err() == nil && !isQuiet() {
 		pause(ctx, leaveCheck)
 	}
 	if !isQuiet() {
@@ -58,6 +54,20 @@
 	n.stop()
 }
 
+// LeaveBy moves the time by which a leaving node has ended. It never moves back:
+// the platform counts the grace time from its last SIGTERM.
+func (n *Node) LeaveBy(deadline time.Time) {
+	for {
+		old := n.deadline.Load()
+		if old != nil && !deadline.After(*old) || n.deadline.CompareAndSwap(old, &deadline) {
+			return
+		}
+	}
+}
+
+// leaveBy returns when requests in progress have to end.
+func (n *Node) leaveBy() time.Time { return n.deadline.Load().Add(-endMargin) }
+
 // sayGoodbye tells the fleet that the node will not come back.
 func (n *Node) sayGoodbye(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeMargin)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -67,6 +67,8 @@
 	// met means that the records of the other nodes have been read.
 	met     atomic.Bool
 	leaving atomic.Bool
+	// deadline is when a leaving node must have ended.
+	deadline atomic.Pointer[time.Time]
 	// cleanups run in reverse order when the node ends.
 	cleanups []func()
 	tasks    sync.WaitGroup
@@ -74,8 +76,8 @@
 }
 
 // Start starts a node. The returned function makes it leave: it refuses new
-// work at the gate, serves what callers have sent, and ends by the deadline of
-// its context.
+// work at the gate, serves what callers have sent, and ends within the grace time,
+// or at once when its context ends.
 func Start(s settings.Settings, around Surroundings, logger hclog.Logger) (*Node, func(context.Context), error) {
 	n := &Node{settings: s, logger: logger, around: around, meter: newMeter(), started: time.Now()}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -45,6 +45,7 @@
 	target   *target.Server
 	announce *target.Announcer
 	leave    func(context.Context)
+	node     *node.Node
 }
 
 // fleet is a store, and VMs with nodes and targets of one service.
@@ -102,7 +103,7 @@
 
 func (f *fleet) startNode(v *vm) {
 	client, closeClient := platform.NewStore(f.at)
-	_, leave, err := node.Start(v.settings, node.Surroundings{
+	n, leave, err := node.Start(v.settings, node.Surroundings{
 		Headers: platform.Headers{}, Decode: platform.DecodeConfiguration,
 		Configurations: platform.NewConfigurations(client), Meeting: platform.NewMeeting(client),
 		Announcements: func(g *gate.Gate, l hclog.Logger) http.Handler { return platform.AnnouncementHandler(g, l) },
@@ -111,6 +112,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	v.node = n
 	left := sync.OnceFunc(func() { closeClient() })
 	v.leave = func(ctx context.Context) {
 		leave(ctx)
@@ -299,6 +301,33 @@
 	is.Equal(r.Cut, 0)
 }
 
+// A second SIGTERM begins the grace time anew: a request that outlasts the first
+// grace time is still answered by its target.
+func TestSecondSignalExtendsLeaving(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	f.vms[0].settings.Grace = 4 * time.Second
+	f.publish(1)
+	for _, v := range f.vms {
+		f.awaitStatus(v, `"nodes":2,"gate_open":true`)
+		v.target.SetFaults(target.Faults{SlowFactor: 120}) // 0.7 to 1.7 s
+	}
+	left := make(chan struct{})
+	r := f.loadFor(3500*time.Millisecond, f.vms[:1], func() {
+		go func() {
+			f.vms[0].leave(context.Background())
+			close(left)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		f.vms[0].node.LeaveBy(time.Now().Add(6 * time.Second))
+		f.vms[0].node.LeaveBy(time.Now()) // it never moves back
+	})
+	<-left
+	is.True(r.IsSound())
+	is.Equal(r.Cut, 0)
+	is.Equal(r.Unknown, 0) // none was ended by the node
+}
+
 // A node that starts while the store is away learns the configuration and the
 // fleet from the others.
 func TestRestartWithoutStore(t *testing.T) {
