--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -94,6 +94,7 @@
 // fleet connects spreads by their nodes' addresses. Nodes that are cut are not
 // reached; those on either side of a one-way cut are reached and not heard.
 type fleet struct {
+	mu        sync.Mutex
 	receivers map[string]*Receiver
 	configs   map[string]*held
 	rosters   map[string]*Roster
@@ -103,8 +104,11 @@
 var errCut = errors.New("cut")
 
 func (f *fleet) Call(_ context.Context, address, method string, args, reply any) error {
+	f.mu.Lock()
 	r := f.receivers[address]
-	if r == nil || f.cut[address] || f.cut[args.(Exchange).Sender.Node] {
+	isCut := f.cut[address] || f.cut[args.(Exchange).Sender.Node]
+	f.mu.Unlock()
+	if r == nil || isCut {
 		return errCut
 	}
 	if method == methodTell {
@@ -127,6 +131,8 @@
 	r := New(self)
 	r.Merge(known)
 	s := NewSpread(r, c, f, hclog.NewNullLogger())
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.receivers[self.Node], f.configs[self.Node], f.rosters[self.Node] = NewReceiver(s), c, r
 	go s.Run(ctx)
 }
