gate: a farewell without a birth keeps its start's late announcements out

Cause: a node that restarted and first heard a farewell without its start's birth remembered birth zero, than which every announcement is later, so that a late one opened the gate to a leaving target. Change: such a start is told by its name; a start again under that name is believed once it goes on announcing itself for 5 s. Ruled out: keeping the gate shut for the name for good (a name may come again).

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -108,7 +108,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed, err := g.target.leave(f)
+	changed, err := g.target.leave(f, time.Now())
 	if err != nil {
 		return err
 	}
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -75,6 +75,8 @@
 		{"a late one after leaving", []func(*Gate) error{announce(announcement("i", 1, 1)), leave(Farewell{Instance: "i"}), announce(announcement("i", 1, 2))}, ErrOutdated, false},
 		{"leaving twice", []func(*Gate) error{announce(announcement("i", 1, 1)), leave(Farewell{Instance: "i"}), leave(Farewell{Instance: "i"})}, nil, false},
 		{"leaving before the first one", []func(*Gate) error{leave(Farewell{Instance: "i", Born: time.UnixMilli(5)}), announce(announcement("i", 5, 9))}, ErrOutdated, false},
+		{"leaving without a birth, before the first one", []func(*Gate) error{leave(Farewell{Instance: "i"}), announce(announcement("i", 5, 9))}, ErrOutdated, false},
+		{"the next start after that", []func(*Gate) error{leave(Farewell{Instance: "i"}), announce(announcement("j", 5, 1))}, nil, true},
 		{"the next start", []func(*Gate) error{announce(announcement("i", 1, 9)), leave(Farewell{Instance: "i"}), announce(announcement("j", 2, 1))}, nil, true},
 		{"the next start under the same name", []func(*Gate) error{announce(announcement("i", 1, 9)), leave(Farewell{Instance: "i"}), announce(announcement("i", 2, 1))}, nil, true},
 		{"an old start comes late", []func(*Gate) error{announce(announcement("j", 2, 1)), announce(draining(announcement("i", 1, 9)))}, ErrOutdated, true},
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -60,7 +60,7 @@
 		a.Draining = a.Draining || t.announced.Draining
 		t.announced, t.heardAt = a, now
 		return changed, nil
-	case !a.Born.After(t.announced.Born):
+	case t.isNamedByFarewell(a) || !a.Born.After(t.announced.Born):
 		last := t.rival
 		t.rival = a
 		isAlive := last.Instance == a.Instance && last.Born.Equal(a.Born) && a.Sequence > last.Sequence
@@ -75,10 +75,17 @@
 	return true, nil
 }
 
+// isNamedByFarewell reports whether an announcement may be a late one of a start
+// of which only a farewell without its birth is known.
+func (t *target) isNamedByFarewell(a Announcement) bool {
+	return t.left && t.announced.Born.IsZero() && a.Instance == t.announced.Instance
+}
+
 // leave takes in a farewell. An unknown start's is remembered too, since its
 // announcements may still come.
-func (t *target) leave(f Farewell) (changed bool, err error) {
+func (t *target) leave(f Farewell, now time.Time) (changed bool, err error) {
 	if !t.known {
+		t.heardAt = now
 		t.announced = Announcement{Instance: f.Instance, Born: f.Born}
 		t.known, t.left = true, true
 		return true, nil
