--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -76,6 +76,18 @@
 	return f
 }
 
+// startFleet returns a fleet whose nodes know each other and version 1, and whose
+// gates are open.
+func startFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	f := newFleet(t, vms)
+	f.publish(1)
+	for _, v := range f.vms {
+		f.awaitStatus(v, fmt.Sprintf(`"nodes":%d,"gate_open":true`, vms))
+	}
+	return f
+}
+
 func (f *fleet) addVM() *vm {
 	t := f.t
 	n := hosts.Add(1)
@@ -220,11 +232,7 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			is := is.New(t)
-			f := newFleet(t, 4)
-			f.publish(1)
-			for _, v := range f.vms {
-				f.awaitStatus(v, `"nodes":4,"gate_open":true`)
-			}
+			f := startFleet(t, 4)
 			r := f.load(f.vms[:3], func() { test.during(f) })
 			is.True(r.IsSound())
 			is.True(r.Claims > 0)
@@ -239,11 +247,7 @@
 // turns at once.
 func TestLeavingCutsNothing(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 3)
-	f.publish(1)
-	for _, v := range f.vms {
-		f.awaitStatus(v, `"nodes":3,"gate_open":true`)
-	}
+	f := startFleet(t, 3)
 	left := make(chan struct{})
 	r := f.load(f.vms[:1], func() {
 		go func() {
@@ -265,11 +269,7 @@
 // Counters and histograms are served at both addresses.
 func TestMetricsAreServed(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 2)
-	f.publish(1)
-	for _, v := range f.vms {
-		f.awaitStatus(v, `"nodes":2,"gate_open":true`)
-	}
+	f := startFleet(t, 2)
 	f.loadFor(200*time.Millisecond, f.vms, func() {})
 	for _, address := range []string{f.vms[0].settings.Admin, f.vms[0].settings.Metrics} {
 		res, err := http.Get("http://" + address + "/metrics")
@@ -288,11 +288,7 @@
 // ready, get answers to all that is read; the rest is refused a connection.
 func TestLeavingUnderLoad(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 3)
-	f.publish(1)
-	for _, v := range f.vms {
-		f.awaitStatus(v, `"nodes":3,"gate_open":true`)
-	}
+	f := startFleet(t, 3)
 	for _, v := range f.vms { // requests last long
 		v.target.SetFaults(target.Faults{SlowFactor: 40})
 	}
@@ -362,11 +358,7 @@
 // and their targets are back: the store still tells where the others are.
 func TestAllRestartTogether(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 4)
-	f.publish(1)
-	for _, v := range f.vms {
-		f.awaitStatus(v, `"nodes":4,"gate_open":true`)
-	}
+	f := startFleet(t, 4)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, v := range f.vms {
