entry, node: a leaving node gives targets no more time than it has

Ruled out: staying longer.

Change: the deadline of a request that comes to a leaving node is the node's end, so that the target ends its work by itself and says so, waits and second sends follow the shorter time, and nothing is broken off.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -46,6 +46,8 @@
 	Headers        Headers
 	Logger         hclog.Logger
 	Meter          Meter
+	// EndsAt returns when a leaving node ends; zero if it stays.
+	EndsAt func() time.Time
 }
 
 // Entry takes requests from callers.
@@ -76,6 +78,10 @@
 	deadline time.Time
 }
 
+// relayTime is kept between a target's last word and the end of a leaving node:
+// a gate and an entry wait 110 ms beyond the deadline (answerSlack, finalSlack).
+const relayTime = 150 * time.Millisecond
+
 // notReadyRetry is when callers may come back to a node that knows no
 // configuration yet; it learns one within a second of the store's answer.
 const notReadyRetry = 500 * time.Millisecond
@@ -126,6 +132,10 @@
 	if c.deadline.IsZero() || latest.Before(c.deadline) {
 		c.deadline = latest
 	}
+	// What a target cannot end while this node lives would be broken off.
+	if ends := e.options.EndsAt(); !ends.IsZero() && ends.Add(-relayTime).Before(c.deadline) {
+		c.deadline = ends.Add(-relayTime)
+	}
 	c.header = message.EndToEnd(in.Header)
 	hop.Strip(c.header)
 	return c, nil
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -129,6 +129,7 @@
 	e, closeEntry := New(Options{
 		Service: "caller", DataCentre: "here", Region: "r", Nodes: nodes, Configurations: fixedConfiguration{c},
 		Headers: plainHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
+		EndsAt: func() time.Time { return time.Time{} },
 	})
 	t.Cleanup(closeEntry)
 	f.entry = e
@@ -243,6 +244,37 @@
 	is.Equal(string(a.Body), "error")
 }
 
+// A leaving node gives targets no more time than it has left itself, so that a
+// target ends its work by itself and the node breaks nothing off.
+func TestLeavingNodeGivesNoMoreTimeThanItHas(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		left        time.Duration
+		least, most time.Duration
+	}{
+		{"the node stays", 0, time.Second, 1200 * time.Millisecond},
+		{"the node ends later than the request", 5 * time.Second, time.Second, 1200 * time.Millisecond},
+		{"the node ends first", 700 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var given time.Duration
+			f := newFleet(t, func(ctx context.Context, in *message.Incoming, got func()) *message.Answer {
+				ask, err := hop.TakeAsk(in.Header, in.Arrived)
+				is.NoErr(err)
+				given = ask.Deadline.Sub(in.Arrived)
+				return serves("a")(ctx, in, got)
+			})
+			if test.left > 0 {
+				ends := time.Now().Add(test.left)
+				f.entry.options.EndsAt = func() time.Time { return ends }
+			}
+			is.Equal(f.call(t, "/claim/").Status, http.StatusOK)
+			is.True(given >= test.least && given <= test.most)
+		})
+	}
+}
+
 // A gate that is only slower than another is not taken for one that cannot be
 // reached.
 func TestSlowerGateIsNotLost(t *testing.T) {
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -25,6 +25,7 @@
 // target beside the node may make requests while it works.
 func (n *Node) leave(ctx context.Context) {
 	began := time.Now()
+	n.LeaveBy(began.Add(n.settings.Grace))
 	n.leaving.Store(true)
 	n.gate.Close()
 	n.logger.Info("node leaving", "requests", n.callers.Busy(), "gate_requests", n.entries.Busy(), "target_left", n.gate.HasLeft())
@@ -32,7 +33,6 @@
 	if n.gate.HasLeft() {
 		n.run(func() { n.sayGoodbye(ctx) })
 	}
-	n.LeaveBy(began.Add(n.settings.Grace))
 	isQuiet := func() bool { return n.callers.Busy() == 0 && n.entries.Busy() == 0 && n.gate.Running() == 0 }
 	pause(ctx, time.Until(began.Add(callerTime)))
 	// Callers that come later still, since too few other nodes are ready, could
@@ -68,6 +68,14 @@
 // leaveBy returns when requests in progress have to end.
 func (n *Node) leaveBy() time.Time { return n.deadline.Load().Add(-endMargin) }
 
+// endsAt returns leaveBy, or zero if the node is not leaving.
+func (n *Node) endsAt() time.Time {
+	if n.deadline.Load() == nil {
+		return time.Time{}
+	}
+	return n.leaveBy()
+}
+
 // sayGoodbye tells the fleet that the node will not come back.
 func (n *Node) sayGoodbye(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeMargin)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -111,7 +111,7 @@
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.roster, Configurations: n.current,
-		Headers: n.around.Headers, Logger: n.logger.Named("entry"), Meter: n.meter,
+		Headers: n.around.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, EndsAt: n.endsAt,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
