gate, entry: the gate that failed a request pays for its repeat

Cause: calls that targets make have two attempts and 400 ms.

Change: the gate whose target failed a request takes the repeat out of its own part and says so; the next gate takes none.

--- a/connection/hop/hop.go
+++ b/connection/hop/hop.go
@@ -37,6 +37,9 @@
 	Priority int
 	// Repeat means that a target has been sent the request before.
 	Repeat bool
+	// Paid means that a gate that failed the request has paid for its being
+	// sent again.
+	Paid bool
 	// MayFail means that the entry has time and attempts left to send the
 	// request to another target, so that it can try out a suspected one.
 	MayFail bool
@@ -58,7 +61,7 @@
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{"i", a.Idempotent}, {"r", a.Repeat}, {"f", a.MayFail}} {
+	}{{"i", a.Idempotent}, {"r", a.Repeat}, {"k", a.Paid}, {"f", a.MayFail}} {
 		if f.set {
 			b.WriteString(";" + f.name + "=1")
 		}
@@ -78,7 +81,7 @@
 	priority, _ := strconv.Atoi(f["p"]) // absent means 0
 	return Ask{
 		Service: f["s"], CallerService: f["c"], Priority: priority,
-		Idempotent: f["i"] != "", Repeat: f["r"] != "", MayFail: f["f"] != "",
+		Idempotent: f["i"] != "", Repeat: f["r"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
 		Deadline:  arrived.Add(time.Duration(left) * time.Millisecond),
 		WaitUntil: arrived.Add(time.Duration(wait) * time.Millisecond),
 	}, nil
@@ -105,6 +108,9 @@
 	State State
 	// Problem is nil for a target's answer.
 	Problem *outcome.Problem
+	// PaysRepeat means that the gate has paid for sending the request to another
+	// target of the service, out of its part of the bound on repeats.
+	PaysRepeat bool
 }
 
 // Set writes the reply into an answer's header.
@@ -120,6 +126,9 @@
 	if r.State.Suspect {
 		b.WriteString(";q=1")
 	}
+	if r.PaysRepeat {
+		b.WriteString(";k=1")
+	}
 	if p := r.Problem; p != nil {
 		b.WriteString(";x=" + string(p.Code))
 		if p.Outcome == outcome.Unknown {
@@ -140,7 +149,10 @@
 	if err1 != nil || err2 != nil {
 		return Reply{}, ErrMalformed
 	}
-	r := Reply{State: State{Open: f["o"] != "", Suspect: f["q"] != "", Busy: busy, Slots: slots}}
+	r := Reply{
+		State:      State{Open: f["o"] != "", Suspect: f["q"] != "", Busy: busy, Slots: slots},
+		PaysRepeat: f["k"] != "",
+	}
 	if ms, err := strconv.ParseInt(f["a"], 10, 64); err == nil {
 		r.State.ProvenAt = now.Add(-time.Duration(ms) * time.Millisecond)
 	}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -58,6 +58,8 @@
 	// last is the last problem, unsure the last whose outcome is unknown.
 	last   *outcome.Problem
 	unsure *outcome.Problem
+	// paid counts the repeats that gates have paid for and that are not used yet.
+	paid int
 	// retryAt is the earliest time at which a gate expects room.
 	retryAt time.Time
 	// budgetRefusals counts gates that had no retry left.
@@ -73,6 +75,10 @@
 	from    *candidate
 	answer  *message.Answer
 	problem *outcome.Problem
+	// paid means that the ask used a paid repeat, paysRepeat that its gate pays
+	// for one.
+	paid       bool
+	paysRepeat bool
 	// slow means that there is no result yet, and that the request may be sent
 	// to another target as well.
 	slow bool
@@ -155,6 +161,9 @@
 		j.asked++
 		j.open++
 		go e.ask(ctx, *j, candidates[i], p, views[i])
+		if j.usesPaid() {
+			j.paid--
+		}
 		if j.await() {
 			return true
 		}
@@ -174,6 +183,13 @@
 // take records a result and reports whether another gate may be asked.
 func (j *journey) take(r result) (goesOn bool) {
 	j.open--
+	if r.paysRepeat {
+		j.paid++
+	}
+	if r.paid && r.problem != nil && r.problem.Outcome == outcome.NotRun && r.problem.Code != outcome.CodeShed {
+		// No target was sent the request.
+		j.paid++
+	}
 	if r.problem == nil && r.answer.Status >= http.StatusInternalServerError && j.call.route.Idempotent {
 		j.errored = r.answer
 		j.lostAt[r.from] = true
@@ -190,6 +206,11 @@
 	return j.goesOn(r.problem)
 }
 
+// isRepeat reports whether the ask that has just begun sends the request once
+// more, and usesPaid whether a gate has paid for that.
+func (j *journey) isRepeat() bool { return j.sent > 0 || j.open > 1 }
+func (j *journey) usesPaid() bool { return j.isRepeat() && j.paid > 0 }
+
 // mayFail reports whether the request can be lost to one target and still be
 // sent to another.
 func (j *journey) mayFail() bool {
@@ -248,12 +269,12 @@
 	c := j.call
 	ask := hop.Ask{
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
-		Priority: c.route.Priority, Repeat: j.sent > 0 || j.open > 1,
+		Priority: c.route.Priority, Repeat: j.isRepeat(), Paid: j.usesPaid(),
 		Deadline: c.deadline, WaitUntil: now.Add(p.waitFor(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	ask.MayFail = c.route.Idempotent && j.sent+j.open < c.route.MaxAttempts
 	to.began()
-	a, problem := e.exchange(ctx, c, to, ask, func() { j.results <- result{slow: true} })
+	a, paysRepeat, problem := e.exchange(ctx, c, to, ask, func() { j.results <- result{slow: true} })
 	to.ended()
 	code := outcome.Code("answered")
 	if problem != nil {
@@ -262,19 +283,19 @@
 	e.options.Meter.EntryAsked(to.tier.String(), code)
 	e.options.Logger.Info("asked a gate", "request", c.id, "service", c.service, "gate", to.address,
 		"tier", to.tier, "load", v.load, "suspect", v.suspect, "belief_age_ms", min(v.heardAgo, time.Hour).Milliseconds(),
-		"ask", j.asked, "repeat", ask.Repeat, "may_fail", ask.MayFail, "outcome", code,
+		"ask", j.asked, "repeat", ask.Repeat, "paid", ask.Paid, "may_fail", ask.MayFail, "outcome", code,
 		"took_ms", time.Since(now).Milliseconds())
-	j.results <- result{from: to, answer: a, problem: problem}
+	j.results <- result{from: to, answer: a, problem: problem, paid: ask.Paid, paysRepeat: paysRepeat}
 }
 
 // exchange sends the request once the gate has granted it a slot. slow is called
 // if the target takes long over a request that may be sent to another as well.
-func (e *Entry) exchange(ctx context.Context, c *call, to *candidate, ask hop.Ask, slow func()) (*message.Answer, *outcome.Problem) {
+func (e *Entry) exchange(ctx context.Context, c *call, to *candidate, ask hop.Ask, slow func()) (a *message.Answer, paysRepeat bool, p *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, err := to.pool.Get(ctx, freshHop)
 	if err != nil {
-		return nil, e.unreachable(to, err)
+		return nil, false, e.unreachable(to, err)
 	}
 	defer to.pool.Put(conn)
 	now := time.Now()
@@ -284,7 +305,7 @@
 	var patience *time.Timer
 	h := maps.Clone(c.header)
 	ask.Set(h, now)
-	a, err := conn.Do(ctx, message.Request{
+	a, err = conn.Do(ctx, message.Request{
 		Method: c.in.Method, URI: c.in.URI, Host: c.in.Host, Header: h, Body: c.body, ID: c.id, AwaitsGrant: true,
 	}, e.options.Headers.AnswerID, func() {
 		granted = true
@@ -298,17 +319,17 @@
 		patience.Stop()
 	}
 	if err != nil {
-		return nil, e.failure(ctx, to, granted, err)
+		return nil, false, e.failure(ctx, to, granted, err)
 	}
 	reply, err := hop.TakeReply(a.Header, time.Now())
 	if err != nil {
-		return nil, outcome.Failed(outcome.CodeGateLost, "%v", err)
+		return nil, false, outcome.Failed(outcome.CodeGateLost, "%v", err)
 	}
 	to.heard(reply.State, time.Now())
 	if reply.Problem != nil {
-		return nil, reply.Problem
+		return nil, reply.PaysRepeat, reply.Problem
 	}
-	return a, nil
+	return a, reply.PaysRepeat, nil
 }
 
 // freshHop bounds how long a connection to a gate may have been idle.
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -70,6 +70,22 @@
 	return reply(http.StatusBadGateway, outcome.Failed(outcome.CodeTargetFailed, "test"), "")
 }
 
+// failsPaid fails a request and pays for its repeat.
+func failsPaid(ctx context.Context, in *message.Incoming, got func()) *message.Answer {
+	a := fails(ctx, in, got)
+	hop.Reply{State: hop.State{Open: true, Slots: 3}, Problem: outcome.Failed(outcome.CodeTargetFailed, "test"), PaysRepeat: true}.Set(a.Header, time.Now())
+	return a
+}
+
+// servesPaid has no repeat to spare.
+func servesPaid(ctx context.Context, in *message.Incoming, got func()) *message.Answer {
+	ask, err := hop.TakeAsk(in.Header, in.Arrived)
+	if err != nil || ask.Repeat && !ask.Paid {
+		return refuses(outcome.CodeRetryBudget)(ctx, in, got)
+	}
+	return serves("paid")(ctx, in, got)
+}
+
 func dies(ctx context.Context, in *message.Incoming, got func()) *message.Answer {
 	if _, err := in.Body(ctx); err == nil {
 		got()
@@ -189,6 +205,9 @@
 		{"a read stalls and is served", []conduct{stalls, serves("b")}, "/read/", 200, "b", []int64{1, 1}},
 		{"a read is lost twice and no more", []conduct{fails, fails, fails}, "/read/", 502, "", nil},
 		{"a read is lost, then refused", []conduct{fails, refuses(outcome.CodeRetryBudget)}, "/read/", 502, "", []int64{1, 0}},
+		{"a read is lost and its repeat not paid", []conduct{fails, servesPaid}, "/read/", 502, "", []int64{1, 0}},
+		{"a read is lost and its repeat paid", []conduct{failsPaid, servesPaid}, "/read/", 200, "paid", []int64{1, 1}},
+		{"a paid repeat is kept when a gate refuses", []conduct{failsPaid, refuses(outcome.CodeFull), servesPaid}, "/read/", 200, "paid", []int64{1, 0, 1}},
 		{"shed, then served", []conduct{refuses(outcome.CodeShed), serves("b")}, "/claim/", 200, "b", []int64{0, 1}},
 		{"shed twice and no more", []conduct{refuses(outcome.CodeShed), refuses(outcome.CodeShed), refuses(outcome.CodeShed)}, "/claim/", 503, "", nil},
 		{"no gate", nil, "/claim/", 503, "", nil},
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -194,7 +194,7 @@
 		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
 	case !now.Before(a.Deadline):
 		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
-	case a.Repeat && !g.budget.canSpend(now, a.Priority):
+	case a.Repeat && !a.Paid && !g.budget.canSpend(now, a.Priority):
 		return outcome.Refused(outcome.CodeRetryBudget, "too many requests are being sent again")
 	}
 	return nil
@@ -282,14 +282,29 @@
 // take gives a slot away; mu is held.
 func (g *Gate) take(a hop.Ask, now time.Time, trial bool) grant {
 	g.target.running++
-	if a.Repeat {
+	switch {
+	case a.Paid:
+	case a.Repeat:
 		g.budget.spend()
-	} else {
+	default:
 		g.budget.earn(now)
 	}
 	return grant{began: now, instance: g.target.announced.Instance, trial: trial}
 }
 
+// payRepeat pays for sending a failed request to another target, if the budget
+// allows it. A sick target takes few requests, so that its gate has a part to
+// spare while those of its siblings are used up.
+func (g *Gate) payRepeat(a hop.Ask) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.budget.canSpend(time.Now(), a.Priority) {
+		return false
+	}
+	g.budget.spend()
+	return true
+}
+
 // settle refuses the waiters that cannot be served any more and gives free
 // slots to the others; mu is held.
 func (g *Gate) settle() {
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -25,7 +25,7 @@
 
 // Serve answers a request that an entry sent.
 func (g *Gate) Serve(ctx context.Context, in *message.Incoming) *message.Answer {
-	a, problem := g.serve(ctx, in)
+	a, paysRepeat, problem := g.serve(ctx, in)
 	now := time.Now()
 	if problem != nil {
 		id := g.options.Headers.Caller(in.Header, now).ID
@@ -34,43 +34,58 @@
 	} else {
 		g.options.Meter.GateEnded("")
 	}
-	hop.Reply{State: g.State(), Problem: problem}.Set(a.Header, now)
+	hop.Reply{State: g.State(), Problem: problem, PaysRepeat: paysRepeat}.Set(a.Header, now)
 	return a
 }
 
-func (g *Gate) serve(ctx context.Context, in *message.Incoming) (*message.Answer, *outcome.Problem) {
+func (g *Gate) serve(ctx context.Context, in *message.Incoming) (a *message.Answer, paysRepeat bool, p *outcome.Problem) {
 	ask, err := hop.TakeAsk(in.Header, in.Arrived)
 	if err != nil {
-		return nil, outcome.Refused(outcome.CodeBadRequest, "%v", err)
+		return nil, false, outcome.Refused(outcome.CodeBadRequest, "%v", err)
 	}
 	id := g.options.Headers.Caller(in.Header, in.Arrived).ID
 	gr, problem := g.admit(ctx, ask)
 	if problem != nil {
 		g.options.Logger.Info("gate refused", "request", id, "reason", problem.Code, "priority", ask.Priority,
 			"repeat", ask.Repeat, "may_fail", ask.MayFail, "wait_ms", time.Until(ask.WaitUntil).Milliseconds(), "left_ms", time.Until(ask.Deadline).Milliseconds())
-		return nil, problem
+		return nil, false, problem
 	}
 	verdict := resultNone
 	defer func() { g.end(gr, verdict) }()
 	body, err := in.Body(ctx)
 	if err != nil {
-		return nil, outcome.Refused(outcome.CodeCallerGone, "the entry did not go on: %v", err)
+		return nil, false, outcome.Refused(outcome.CodeCallerGone, "the entry did not go on: %v", err)
 	}
 	answer, learned, problem := g.run(ctx, in, ask, gr, id, body)
 	verdict = learned
-	g.logEnd(id, gr, answer, learned, problem)
-	return answer, problem
+	if learned.callsForRepeat(ask) {
+		paysRepeat = g.payRepeat(ask)
+	}
+	g.logEnd(id, gr, answer, learned, paysRepeat, problem)
+	return answer, paysRepeat, problem
+}
+
+// callsForRepeat reports whether the entry will send the request to another
+// target after this result.
+func (r result) callsForRepeat(a hop.Ask) bool {
+	switch r {
+	case resultShed:
+		return true
+	case resultErred, resultLost:
+		return a.MayFail
+	}
+	return false
 }
 
-func (g *Gate) logEnd(id string, gr grant, a *message.Answer, learned result, p *outcome.Problem) {
+func (g *Gate) logEnd(id string, gr grant, a *message.Answer, learned result, paysRepeat bool, p *outcome.Problem) {
 	ms := time.Since(gr.began).Milliseconds()
 	if p != nil {
 		g.options.Logger.Warn("target failed", "request", id, "instance", gr.instance, "outcome", p.Outcome,
-			"code", p.Code, "reason", p.Detail, "learned", learned, "trial", gr.trial, "took_ms", ms)
+			"code", p.Code, "reason", p.Detail, "learned", learned, "trial", gr.trial, "pays_repeat", paysRepeat, "took_ms", ms)
 		return
 	}
 	g.options.Logger.Info("target answered", "request", id, "instance", gr.instance, "status", a.Status,
-		"learned", learned, "trial", gr.trial, "took_ms", ms)
+		"learned", learned, "trial", gr.trial, "pays_repeat", paysRepeat, "took_ms", ms)
 }
 
 // run sends the request to the target and returns the whole answer.
