--- a/connection/hop/hop.go
+++ b/connection/hop/hop.go
@@ -31,6 +31,9 @@
 	Service string
 	// CallerService is the service on whose VM the request began.
 	CallerService string
+	// IsQuestion means that nothing is to be run: the entry only asks for the
+	// gate's state.
+	IsQuestion bool
 	// Idempotent requests may run more than once.
 	Idempotent bool
 	// Priority ranks waiting requests; 0 is the most urgent.
@@ -61,7 +64,7 @@
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{"i", a.Idempotent}, {"r", a.Repeat}, {"k", a.Paid}, {"f", a.MayFail}} {
+	}{{"q", a.IsQuestion}, {"i", a.Idempotent}, {"r", a.Repeat}, {"k", a.Paid}, {"f", a.MayFail}} {
 		if f.set {
 			b.WriteString(";" + f.name + "=1")
 		}
@@ -81,7 +84,7 @@
 	priority, _ := strconv.Atoi(f["p"]) // absent means 0
 	return Ask{
 		Service: f["s"], CallerService: f["c"], Priority: priority,
-		Idempotent: f["i"] != "", Repeat: f["r"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
+		IsQuestion: f["q"] != "", Idempotent: f["i"] != "", Repeat: f["r"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
 		Deadline:  arrived.Add(time.Duration(left) * time.Millisecond),
 		WaitUntil: arrived.Add(time.Duration(wait) * time.Millisecond),
 	}, nil
--- /dev/null
+++ b/process/entry/absence_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/message"
+	"github.com/cuminwheel/cuminwheel/process/gate"
+	"github.com/cuminwheel/cuminwheel/process/roster"
+	"github.com/cuminwheel/cuminwheel/request/head"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+type gateHeaders struct{ plainHeaders }
+
+func (gateHeaders) SetTarget(http.Header, head.ToTarget, time.Time) {}
+func (gateHeaders) OfTarget(int, http.Header) head.OfTarget         { return head.OfTarget{} }
+
+type gateMeter struct{}
+
+func (gateMeter) GateEnded(outcome.Code) {}
+
+// A gate that could not be reached is asked by no request until a question shows
+// that it is back.
+func TestAbsentGateIsAskedForItsReturn(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	e := newEntry(t, fixedNodes{{Node: address, Gate: address, Service: "s", DataCentre: "here", Region: "r"}})
+	f := &fleet{entry: e}
+	is.Equal(f.call(t, "/claim/").Status, http.StatusServiceUnavailable)
+	absent := e.directory.candidates("s")[0]
+	is.True(absent.view(time.Now()).down)
+
+	g, closeGate := gate.New(gate.Options{
+		Service: "s", Headers: gateHeaders{}, Meter: gateMeter{}, Logger: hclog.NewNullLogger(), Gates: func() int { return 1 },
+	})
+	defer closeGate()
+	_, closeListener, err := message.Listen(address, g.Serve, func() message.Limits { return limits }, hclog.NewNullLogger())
+	is.NoErr(err)
+	defer closeListener()
+	for until := time.Now().Add(10 * time.Second); absent.isDown() && time.Now().Before(until); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	v := absent.view(time.Now())
+	is.True(!v.down)
+	is.True(v.closed) // its target has not announced itself
+}
+
+// Only the first failure in a row is news, and closing a candidate ends its
+// questions.
+func TestFailedIsNewsOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(fixedNodes{}, "here", "r")
+	c := d.newCandidate(roster.Record{Gate: "127.0.0.1:1", Service: "s"})
+	is.True(c.failed())
+	is.True(!c.failed())
+	e := &Entry{options: Options{Logger: hclog.NewNullLogger(), Headers: plainHeaders{}}, directory: d}
+	ended := make(chan struct{})
+	go func() {
+		e.awaitReturn(c)
+		close(ended)
+	}()
+	c.close()
+	<-ended
+	is.True(c.isDown())
+}
--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -24,10 +25,6 @@
 	// stateTrust is how long a gate's word on itself is believed. Sick targets
 	// stay so for seconds, and gates begin trials every second at most.
 	stateTrust = time.Second
-	// firstDown and lastDown bound how long a gate is left alone that could not
-	// be reached.
-	firstDown = 500 * time.Millisecond
-	lastDown  = 4 * time.Second
 )
 
 // candidate is a gate as an entry sees it. It is safe for concurrent use.
@@ -36,16 +33,18 @@
 	address string
 	tier    tier
 	// rank is the gate's place among those of its service and data centre.
-	rank  int
-	pool  *message.Pool
+	rank int
+	pool *message.Pool
+	// ctx ends when the candidate is closed.
+	ctx   context.Context
 	close func()
 
-	mu        sync.Mutex
-	state     hop.State
-	heardAt   time.Time
-	asking    int
-	downUntil time.Time
-	downFor   time.Duration
+	mu      sync.Mutex
+	state   hop.State
+	heardAt time.Time
+	asking  int
+	// down means that the gate could not be reached and has not been heard since.
+	down bool
 }
 
 // view is what is believed of a candidate at one moment.
@@ -66,7 +65,7 @@
 func (c *candidate) view(now time.Time) view {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := view{tier: c.tier, rank: c.rank, down: now.Before(c.downUntil), heardAgo: now.Sub(c.heardAt), provenAgo: now.Sub(c.state.ProvenAt)}
+	v := view{tier: c.tier, rank: c.rank, down: c.down, heardAgo: now.Sub(c.heardAt), provenAgo: now.Sub(c.state.ProvenAt)}
 	busy, slots := c.asking, 1
 	if v.heardAgo < stateTrust {
 		v.closed = !c.state.Open
@@ -104,15 +103,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.heardAt = s, now
-	c.downFor, c.downUntil = 0, time.Time{}
+	c.down = false
 }
 
-// failed leaves the gate alone for a while, which doubles while it goes on
-// failing.
-func (c *candidate) failed(now time.Time) (until time.Time) {
+// failed records that the gate could not be reached and reports whether that is
+// news.
+func (c *candidate) failed() (isNews bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.downFor = min(lastDown, max(firstDown, 2*c.downFor))
-	c.downUntil = now.Add(c.downFor)
-	return c.downUntil
+	isNews = !c.down
+	c.down = true
+	return isNews
+}
+
+func (c *candidate) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
 }
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 
 	"github.com/cuminwheel/cuminwheel/connection/message"
@@ -73,7 +74,11 @@
 		t = tierRegion
 	}
 	pool, closePool := message.NewPool(r.Gate, dialTimeouts[t])
-	return &candidate{node: r.Node, address: r.Gate, tier: t, pool: pool, close: closePool}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &candidate{node: r.Node, address: r.Gate, tier: t, pool: pool, ctx: ctx, close: func() {
+		cancel()
+		closePool()
+	}}
 }
 
 func (d *directory) close() {
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -337,8 +337,10 @@
 
 // unreachable records that nothing reached the gate.
 func (e *Entry) unreachable(to *candidate, err error) *outcome.Problem {
-	until := to.failed(time.Now())
-	e.options.Logger.Warn("gate lost", "gate", to.address, "reason", err, "left_alone_until", until)
+	if to.failed() {
+		e.options.Logger.Warn("gate lost", "gate", to.address, "tier", to.tier, "reason", err)
+		go e.awaitReturn(to)
+	}
 	return outcome.Refused(outcome.CodeUnreachable, "the gate cannot be reached")
 }
 
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -134,6 +134,14 @@
 		}
 		nodes = append(nodes, r)
 	}
+	f.entry = newEntry(t, nodes)
+	return f
+}
+
+// newEntry returns an entry that knows the nodes and the routes /read/ and
+// /claim/ to their service.
+func newEntry(t *testing.T, nodes fixedNodes) *Entry {
+	t.Helper()
 	route := func(name string, idempotent bool) configuration.Route {
 		return configuration.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 1200 * time.Millisecond,
@@ -148,8 +156,7 @@
 		EndsAt: func() time.Time { return time.Time{} },
 	})
 	t.Cleanup(closeEntry)
-	f.entry = e
-	return f
+	return e
 }
 
 // call sends a request through a listener, as a caller does.
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -25,7 +25,20 @@
 
 // Serve answers a request that an entry sent.
 func (g *Gate) Serve(ctx context.Context, in *message.Incoming) *message.Answer {
-	a, paysRepeat, problem := g.serve(ctx, in)
+	ask, err := hop.TakeAsk(in.Header, in.Arrived)
+	var a *message.Answer
+	var paysRepeat bool
+	var problem *outcome.Problem
+	switch {
+	case err != nil:
+		problem = outcome.Refused(outcome.CodeBadRequest, "%v", err)
+	case ask.IsQuestion:
+		a = &message.Answer{Status: http.StatusNoContent, Header: http.Header{}}
+		hop.Reply{State: g.State()}.Set(a.Header, time.Now())
+		return a
+	default:
+		a, paysRepeat, problem = g.serve(ctx, in, ask)
+	}
 	now := time.Now()
 	if problem != nil {
 		id := g.options.Headers.Caller(in.Header, now).ID
@@ -38,11 +51,7 @@
 	return a
 }
 
-func (g *Gate) serve(ctx context.Context, in *message.Incoming) (a *message.Answer, paysRepeat bool, p *outcome.Problem) {
-	ask, err := hop.TakeAsk(in.Header, in.Arrived)
-	if err != nil {
-		return nil, false, outcome.Refused(outcome.CodeBadRequest, "%v", err)
-	}
+func (g *Gate) serve(ctx context.Context, in *message.Incoming, ask hop.Ask) (a *message.Answer, paysRepeat bool, p *outcome.Problem) {
 	id := g.options.Headers.Caller(in.Header, in.Arrived).ID
 	gr, problem := g.admit(ctx, ask)
 	if problem != nil {
