gate: refusals between nodes carry no document

Cause: three in five asks between data centres are refused (full, suspect), and each refusal carried the JSON document and the headers that callers get, which the entry does not read.

--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -41,8 +41,8 @@
 	}
 	now := time.Now()
 	if problem != nil {
-		id := g.options.Headers.Caller(in.Header, now).ID
-		a = problem.Answer(id, now)
+		// The reply says it all; the entry writes what its caller gets.
+		a = &message.Answer{Status: problem.Status, Header: http.Header{}}
 		g.options.Meter.GateEnded(problem.Code)
 	} else {
 		g.options.Meter.GateEnded("")
