roster: comparisons send what differs, and configurations are fetched

Change: digests by bucket, so that only records of buckets that differ travel; a node that hears of a newer version passes the word on, gives the store 0.3 s and then fetches the configuration, compressed, from a node that has it.

--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -111,8 +111,11 @@
 	if r == nil || isCut {
 		return errCut
 	}
-	if method == methodTell {
+	switch method {
+	case methodTell:
 		return r.Tell(args.(Exchange), reply.(*Exchange))
+	case methodFetch:
+		return r.Fetch(args.(Exchange), reply.(*Exchange))
 	}
 	return r.Compare(args.(Exchange), reply.(*Exchange))
 }
--- a/process/roster/spread.go
+++ b/process/roster/spread.go
@@ -1,8 +1,10 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -28,11 +30,21 @@
 type Exchange struct {
 	// Sender is the sender's own record; an answer has none.
 	Sender Record
-	// Digest and Version are those of the sender's roster and configuration.
-	Digest  uint64
+	// Digest is that of the sender's roster.
+	Digest uint64
+	// Version is the newest configuration that the sender has or has heard of,
+	// and Holder a node that has it; empty means the sender itself.
 	Version uint64
-	// Records and Configuration are sent when the other side lacks them.
-	Records       []Record
+	Holder  string
+	// Buckets are the digests of the parts of the sender's roster; see
+	// Roster.Buckets. They are sent when the digests differ.
+	Buckets []uint64
+	// Records are what the other side may lack. Wanted are the buckets, of so
+	// many, whose records the sender wants in return.
+	Records     []Record
+	Wanted      []int
+	BucketCount int
+	// Configuration is encoded and compressed.
 	Configuration []byte
 }
 
@@ -41,6 +53,7 @@
 	ReceiverName  = "Roster"
 	methodCompare = "Roster.Compare"
 	methodTell    = "Roster.Tell"
+	methodFetch   = "Roster.Fetch"
 	callTimeout   = time.Second
 )
 
@@ -52,6 +65,10 @@
 	// versionDelay is how long after a new configuration a node compares with
 	// others: by then nearly all have it from the store.
 	versionDelay = 300 * time.Millisecond
+	// fetchDelay is how long a node that hears of a newer configuration waits for
+	// the store to bring it, before it fetches it from another node: nodes that
+	// take in publications in quick succession read the store every 0.4 s.
+	fetchDelay = 300 * time.Millisecond
 	// remoteShare of the comparisons cross regions.
 	remoteShare = 0.1
 	// fanout is how many nodes are told of news at once; with 3, news reaches
@@ -66,15 +83,30 @@
 	caller         Caller
 	logger         hclog.Logger
 	news           chan []Record
+	// newer wakes followNewer.
+	newer chan struct{}
+
+	mu sync.Mutex
+	// heard is the newest configuration that another node is known to have.
+	heard heldVersion
+	// told is the newest version that other nodes were told of at once.
+	told uint64
+}
+
+// heldVersion is a configuration that a node has.
+type heldVersion struct {
+	holder  string
+	version uint64
 }
 
 // NewSpread returns a spread of the roster's records.
 func NewSpread(r *Roster, c Configurations, caller Caller, logger hclog.Logger) *Spread {
-	return &Spread{roster: r, configurations: c, caller: caller, logger: logger, news: make(chan []Record, 64)}
+	return &Spread{roster: r, configurations: c, caller: caller, logger: logger, news: make(chan []Record, 64), newer: make(chan struct{}, 1)}
 }
 
 // Run compares and tells until ctx ends.
 func (s *Spread) Run(ctx context.Context) {
+	go s.followNewer(ctx)
 	for {
 		changed := s.configurations.Changed()
 		wait := time.Duration((0.5 + rand.Float64()) * float64(compareInterval))
@@ -84,19 +116,32 @@
 		case news := <-s.news:
 			s.tell(ctx, news)
 		case <-changed:
-			// A node that the store does not reach learns of it here.
-			for range fanout {
-				go func() {
-					pause(ctx, time.Duration((0.5+rand.Float64())*float64(versionDelay)))
-					s.compare(ctx)
-				}()
-			}
+			version, _ := s.configurations.Newest()
+			s.tellVersion(ctx, version)
 		case <-time.After(wait):
 			s.compare(ctx)
 		}
 	}
 }
 
+// tellVersion compares with a few nodes soon if the version is news: nodes that
+// the store does not reach learn of it so.
+func (s *Spread) tellVersion(ctx context.Context, version uint64) {
+	s.mu.Lock()
+	isNews := version > s.told
+	s.told = max(s.told, version)
+	s.mu.Unlock()
+	if !isNews {
+		return
+	}
+	for range fanout {
+		go func() {
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(versionDelay)))
+			s.compare(ctx)
+		}()
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -164,30 +209,104 @@
 // compare asks another node whether it knows the same, and gives or takes what
 // differs.
 func (s *Spread) compare(ctx context.Context) {
-	to, ok := s.pick()
-	if !ok {
-		return
+	if to, ok := s.pick(); ok {
+		s.compareWith(ctx, to)
 	}
-	version, _ := s.configurations.Newest()
-	ask := Exchange{Sender: s.roster.Self(), Digest: s.roster.Digest(), Version: version}
+}
+
+func (s *Spread) compareWith(ctx context.Context, to Record) {
+	ask := Exchange{Sender: s.roster.Self(), Digest: s.roster.Digest()}
+	ask.Version, ask.Holder = s.newestKnown()
 	var got Exchange
 	if !s.call(ctx, to, methodCompare, ask, &got) {
 		return
 	}
-	s.take(got, to.Node)
-	version, encoded := s.configurations.Newest()
-	give := Exchange{Sender: s.roster.Self()}
-	if got.Digest != s.roster.Digest() {
-		give.Records = s.roster.All()
+	s.hearVersion(cmp.Or(got.Holder, to.Node), got.Version)
+	if len(got.Buckets) == 0 {
+		return
 	}
-	if got.Version < version {
-		give.Configuration = encoded
+	own := s.roster.Buckets(len(got.Buckets))
+	give := Exchange{Sender: s.roster.Self(), BucketCount: len(own)}
+	for i := range own {
+		if own[i] != got.Buckets[i] {
+			give.Wanted = append(give.Wanted, i)
+		}
+	}
+	if len(give.Wanted) == 0 {
+		return
 	}
-	if give.Records != nil || give.Configuration != nil {
-		s.call(ctx, to, methodTell, give, &Exchange{})
+	give.Records = s.roster.InBuckets(give.Wanted, give.BucketCount)
+	var lacked Exchange
+	if s.call(ctx, to, methodTell, give, &lacked) {
+		s.Merge(lacked.Records)
 	}
 }
 
+// newestKnown returns the newest version that the node has or has heard of, and
+// who has it; empty means the node itself.
+func (s *Spread) newestKnown() (version uint64, holder string) {
+	own, _ := s.configurations.Newest()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard.version > own {
+		return s.heard.version, s.heard.holder
+	}
+	return own, ""
+}
+
+// hearVersion notes that a node has a configuration of a version.
+func (s *Spread) hearVersion(holder string, version uint64) {
+	known, _ := s.newestKnown()
+	if own, _ := s.configurations.Newest(); version <= own || holder == s.roster.Self().Node {
+		return
+	}
+	s.mu.Lock()
+	if version >= known {
+		s.heard = heldVersion{holder, version}
+	}
+	s.mu.Unlock()
+	select {
+	case s.newer <- struct{}{}:
+	default: // a fetch is due already
+	}
+}
+
+// followNewer fetches configurations that other nodes have and the store has not
+// brought.
+func (s *Spread) followNewer(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.newer:
+		}
+		version, _ := s.newestKnown()
+		s.tellVersion(ctx, version)
+		pause(ctx, fetchDelay)
+		s.fetch(ctx)
+	}
+}
+
+// fetch gets the newest configuration from the node that has it, if the own one
+// is older still.
+func (s *Spread) fetch(ctx context.Context) {
+	version, holder := s.newestKnown()
+	if holder == "" || ctx.Err() != nil {
+		return
+	}
+	own, _ := s.configurations.Newest()
+	var got Exchange
+	if !s.call(ctx, Record{Node: holder}, methodFetch, Exchange{Sender: s.roster.Self(), Version: own}, &got) {
+		// Comparisons will name a holder again.
+		s.mu.Lock()
+		s.heard = heldVersion{}
+		s.mu.Unlock()
+		s.logger.Info("a newer configuration could not be fetched", "node", holder, "version", version, "own_version", own)
+		return
+	}
+	s.takeConfiguration(got.Configuration, holder)
+}
+
 func (s *Spread) call(ctx context.Context, to Record, method string, args Exchange, reply *Exchange) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -198,13 +317,16 @@
 	return true
 }
 
-// take takes in what another node sent.
-func (s *Spread) take(x Exchange, from string) {
-	s.Merge(x.Records)
-	if x.Configuration == nil {
+// takeConfiguration takes in a configuration that another node sent.
+func (s *Spread) takeConfiguration(compressed []byte, from string) {
+	if len(compressed) == 0 {
 		return
 	}
-	if err := s.configurations.Offer(x.Configuration, from); err != nil {
+	encoded, err := decompress(compressed)
+	if err == nil {
+		err = s.configurations.Offer(encoded, from)
+	}
+	if err != nil {
 		s.logger.Warn("another node's configuration cannot be used", "node", from, "reason", err)
 	}
 }
@@ -238,24 +360,36 @@
 // NewReceiver returns the receiver of a spread's calls.
 func NewReceiver(s *Spread) *Receiver { return &Receiver{spread: s} }
 
-// Compare answers with what the sender lacks.
+// Compare answers with the own digests.
 func (r *Receiver) Compare(ask Exchange, answer *Exchange) error {
 	s := r.spread
 	s.Merge([]Record{ask.Sender})
-	version, encoded := s.configurations.Newest()
-	answer.Digest, answer.Version = s.roster.Digest(), version
+	s.hearVersion(cmp.Or(ask.Holder, ask.Sender.Node), ask.Version)
+	answer.Version, answer.Holder = s.newestKnown()
+	answer.Digest = s.roster.Digest()
 	if ask.Digest != answer.Digest {
-		answer.Records = s.roster.All()
-	}
-	if ask.Version < version {
-		answer.Configuration = encoded
+		answer.Buckets = s.roster.Buckets(bucketCount(s.roster.Len()))
 	}
 	return nil
 }
 
-// Tell takes in news.
-func (r *Receiver) Tell(news Exchange, _ *Exchange) error {
-	r.spread.Merge([]Record{news.Sender})
-	r.spread.take(news, news.Sender.Node)
+// Tell takes in news and answers with the records that the sender wants.
+func (r *Receiver) Tell(news Exchange, answer *Exchange) error {
+	s := r.spread
+	wanted := s.roster.InBuckets(news.Wanted, news.BucketCount)
+	s.Merge(append(news.Records, news.Sender))
+	answer.Records = wanted
 	return nil
 }
+
+// Fetch answers with the configuration, if it is newer than the sender's.
+func (r *Receiver) Fetch(ask Exchange, answer *Exchange) error {
+	version, encoded := r.spread.configurations.Newest()
+	if ask.Version >= version {
+		return nil
+	}
+	var err error
+	answer.Version = version
+	answer.Configuration, err = compress(encoded)
+	return err
+}
