judgement, entry: two successes lead a suspected target back

Cause: a sick target that resets most requests answers some; one such answer let claims back, and the next claim was lost.

Change: a lost request and one success leave doubt; the trial after a success may begin at once.

--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -68,7 +68,8 @@
 	concentrateBelow = 0.65
 	rankCost         = 0.03
 	// trialAge is how old the news of a suspected target must be for a request
-	// that may fail to try it first: its gate allows a trial every 200 ms to 1 s.
+	// that may fail to try it first: its gate allows a trial every 200 ms to 1.6 s,
+	// and at once after a success.
 	trialAge = 400 * time.Millisecond
 	// tieWidth spreads requests over gates that cost about the same.
 	tieWidth = 0.02
@@ -100,7 +101,8 @@
 	} else {
 		cost += loadCost * v.load
 	}
-	isTrial := v.suspect && r.mayFail && v.heardAgo >= trialAge && v.tier == tierDataCentre
+	isDue := v.heardAgo >= trialAge || v.provenAgo < trialAge
+	isTrial := v.suspect && r.mayFail && isDue && v.tier == tierDataCentre
 	if r.mayFail && !v.suspect || isTrial {
 		// It may well meet a sick target, and finds out.
 		return cost, true
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -316,6 +316,11 @@
 		is.Equal(p.Code, outcome.CodeSuspect)
 		g.end(gr, resultProved)
 		_, p = g.admit(t.Context(), claim)
+		is.Equal(p.Code, outcome.CodeSuspect) // sick targets answer some requests
+		gr, p = g.admit(t.Context(), trial)   // and the next trial begins at once
+		is.True(p == nil)
+		g.end(gr, resultProved)
+		_, p = g.admit(t.Context(), claim)
 		is.True(p == nil)
 	})
 }
