gate: waiting requests go by the time that is aimed at

Calls of running requests, which hold slots of other services, waited behind claims of the same priority.

Change: among requests of one priority those that can still be in time go first, the one with the nearest aim at the front.

--- a/connection/hop/hop.go
+++ b/connection/hop/hop.go
@@ -46,6 +46,8 @@
 	// MayFail means that the entry has time and attempts left to send the
 	// request to another target, so that it can try out a suspected one.
 	MayFail bool
+	// AimAt is when the answer is wanted: after it, the answer is worth less.
+	AimAt time.Time
 	// Deadline is when the request must have its answer.
 	Deadline time.Time
 	// WaitUntil is when the request must have its slot.
@@ -57,7 +59,7 @@
 func (a Ask) Set(h http.Header, now time.Time) {
 	var b strings.Builder
 	b.WriteString("s=" + a.Service + ";c=" + a.CallerService)
-	b.WriteString(";d=" + millis(a.Deadline.Sub(now)) + ";w=" + millis(a.WaitUntil.Sub(now)))
+	b.WriteString(";a=" + millis(a.AimAt.Sub(now)) + ";d=" + millis(a.Deadline.Sub(now)) + ";w=" + millis(a.WaitUntil.Sub(now)))
 	if a.Priority != 0 {
 		b.WriteString(";p=" + strconv.Itoa(a.Priority))
 	}
@@ -78,13 +80,15 @@
 	f := fields(h)
 	left, err1 := strconv.ParseInt(f["d"], 10, 64)
 	wait, err2 := strconv.ParseInt(f["w"], 10, 64)
-	if f["s"] == "" || err1 != nil || err2 != nil {
+	aim, err3 := strconv.ParseInt(f["a"], 10, 64)
+	if f["s"] == "" || err1 != nil || err2 != nil || err3 != nil {
 		return Ask{}, ErrMalformed
 	}
 	priority, _ := strconv.Atoi(f["p"]) // absent means 0
 	return Ask{
 		Service: f["s"], CallerService: f["c"], Priority: priority,
 		IsQuestion: f["q"] != "", Idempotent: f["i"] != "", Repeat: f["r"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
+		AimAt:     arrived.Add(time.Duration(aim) * time.Millisecond),
 		Deadline:  arrived.Add(time.Duration(left) * time.Millisecond),
 		WaitUntil: arrived.Add(time.Duration(wait) * time.Millisecond),
 	}, nil
--- a/connection/hop/hop_test.go
+++ b/connection/hop/hop_test.go
@@ -22,6 +22,7 @@
 			Repeat:        rapid.Bool().Draw(t, "repeat"),
 			MayFail:       rapid.Bool().Draw(t, "may_fail"),
 			Deadline:      now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "left")) * time.Millisecond),
+			AimAt:         now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "aim")) * time.Millisecond),
 			WaitUntil:     now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "wait")) * time.Millisecond),
 		}
 		h := http.Header{"X": {"kept"}}
--- a/process/entry/absence.go
+++ b/process/entry/absence.go
@@ -54,7 +54,7 @@
 	defer c.pool.Put(conn)
 	now := time.Now()
 	h := http.Header{}
-	hop.Ask{IsQuestion: true, Service: e.options.Service, Deadline: now.Add(questionTimeout), WaitUntil: now}.Set(h, now)
+	hop.Ask{IsQuestion: true, Service: e.options.Service, AimAt: now, Deadline: now.Add(questionTimeout), WaitUntil: now}.Set(h, now)
 	a, err := conn.Do(ctx, message.Request{Method: http.MethodGet, URI: "/", Host: c.address, Header: h}, e.options.Headers.AnswerID, nil)
 	if err != nil {
 		return hop.State{}, err
--- a/process/entry/choose_test.go
+++ b/process/entry/choose_test.go
@@ -10,7 +10,10 @@
 func sound(t tier, load float64) view { return view{tier: t, load: load, heardAgo: time.Second / 10} }
 
 func TestChoose(t *testing.T) {
-	suspect := func(v view, ago time.Duration) view { v.suspect, v.heardAgo, v.provenAgo = true, ago, 5*time.Second; return v }
+	suspect := func(v view, ago time.Duration) view {
+		v.suspect, v.heardAgo, v.provenAgo = true, ago, 5*time.Second
+		return v
+	}
 	closed := func(v view) view { v.closed = true; return v }
 	proved := func(v view, ago time.Duration) view { v.provenAgo = ago; return v }
 	ranked := func(v view, rank int) view { v.rank = rank; return v }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -224,7 +224,8 @@
 	case judgement.Tried:
 		trial = true
 	}
-	if g.target.running < g.target.announced.Slots && g.queue.ahead(a) == 0 {
+	ahead := g.queue.ahead(a, now.Add(g.target.serviceTime))
+	if g.target.running < g.target.announced.Slots && ahead == 0 {
 		gr := g.take(a, now, trial)
 		g.mu.Unlock()
 		return gr, nil
@@ -232,7 +233,7 @@
 	if trial {
 		g.target.trust.TrialEnded()
 	}
-	wait := expectedWait(g.queue.ahead(a), g.target.announced.Slots, g.target.serviceTime)
+	wait := expectedWait(ahead, g.target.announced.Slots, g.target.serviceTime)
 	if now.Add(wait).After(a.WaitUntil) {
 		g.mu.Unlock()
 		return grant{}, outcome.Refused(outcome.CodeFull, "the wait for a slot is about %d ms", wait.Milliseconds()).WithRetryAt(now.Add(wait))
@@ -316,7 +317,7 @@
 			outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(g.target.trust.TrialAt()))
 	}
 	for g.target.running < g.target.announced.Slots {
-		w := g.queue.pop(func(a hop.Ask) bool { return g.refusal(a, now) == nil })
+		w := g.queue.pop(now.Add(g.target.serviceTime), func(a hop.Ask) bool { return g.refusal(a, now) == nil })
 		if w == nil {
 			return
 		}
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -266,6 +266,51 @@
 	})
 }
 
+// When more work comes than can be done by the time that is aimed at, requests
+// that can still be in time go before those that cannot, and of those the ones
+// with the nearest aim; a request that another one's run waits for aims at a
+// short time.
+func TestQueueOrderUnderOverload(t *testing.T) {
+	now := time.Unix(1000, 0)
+	done := now.Add(100 * time.Millisecond)
+	aims := func(ms ...int) []hop.Ask {
+		var out []hop.Ask
+		for _, m := range ms {
+			out = append(out, hop.Ask{AimAt: now.Add(time.Duration(m) * time.Millisecond)})
+		}
+		return out
+	}
+	urgent := aims(900)[0]
+	tests := []struct {
+		name    string
+		waiting []hop.Ask
+		want    []int
+	}{
+		{"the nearest aim first", aims(800, 150, 400), []int{1, 2, 0}},
+		{"equal ones by arrival", aims(300, 300), []int{0, 1}},
+		{"those in time before late ones", aims(-500, 50, 700), []int{2, 0, 1}},
+		{"the most urgent first, whatever its aim", append(aims(150), urgent), []int{1, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var q queue
+			index := map[*waiter]int{}
+			for i, a := range test.waiting {
+				if a != urgent {
+					a.Priority = 1
+				}
+				index[q.push(a)] = i
+			}
+			var got []int
+			for w := q.pop(done, func(hop.Ask) bool { return true }); w != nil; w = q.pop(done, func(hop.Ask) bool { return true }) {
+				got = append(got, index[w])
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
 // A waiter whose time is over or whose caller leaves gives its place up, and no
 // slot is lost to it.
 func TestWaitersLeave(t *testing.T) {
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -9,22 +9,23 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	ask     hop.Ask
-	arrived int64
+	ask hop.Ask
 	// decided gets the slot's problem, or nil for a slot, exactly once.
 	decided chan *outcome.Problem
 }
 
 // queue holds the requests that wait for a slot: the most urgent first, and
-// among equals the one that came first.
+// among equals those that can be answered by the time that is aimed at, the one
+// whose time comes first at the front. Requests that running requests make aim
+// at short times, and free the slots of those. When more work comes than slots
+// can do, some requests are late and the others in time, instead of all late.
 type queue struct {
-	waiters  []*waiter
-	arrivals int64
+	// waiters are in the order of their arrival.
+	waiters []*waiter
 }
 
 func (q *queue) push(a hop.Ask) *waiter {
-	q.arrivals++
-	w := &waiter{ask: a, arrived: q.arrivals, decided: make(chan *outcome.Problem, 1)}
+	w := &waiter{ask: a, decided: make(chan *outcome.Problem, 1)}
 	q.waiters = append(q.waiters, w)
 	return w
 }
@@ -40,11 +41,12 @@
 	return false
 }
 
-// pop takes the next waiter that accept allows.
-func (q *queue) pop(accept func(hop.Ask) bool) *waiter {
+// pop takes the next waiter that accept allows. A request begun now is expected
+// to be answered at done.
+func (q *queue) pop(done time.Time, accept func(hop.Ask) bool) *waiter {
 	var best *waiter
 	for _, w := range q.waiters {
-		if (best == nil || w.before(best)) && accept(w.ask) {
+		if (best == nil || goesBefore(w.ask, best.ask, done)) && accept(w.ask) {
 			best = w
 		}
 	}
@@ -54,18 +56,23 @@
 	return best
 }
 
-func (w *waiter) before(other *waiter) bool {
-	if w.ask.Priority != other.ask.Priority {
-		return w.ask.Priority < other.ask.Priority
+// goesBefore reports whether a request goes before another one that has waited
+// longer.
+func goesBefore(a, other hop.Ask, done time.Time) bool {
+	if a.Priority != other.Priority {
+		return a.Priority < other.Priority
 	}
-	return w.arrived < other.arrived
+	if isLate, isOtherLate := done.After(a.AimAt), done.After(other.AimAt); isLate != isOtherLate {
+		return isOtherLate
+	}
+	return a.AimAt.Before(other.AimAt)
 }
 
 // ahead counts the waiters that an ask would wait behind.
-func (q *queue) ahead(a hop.Ask) int {
+func (q *queue) ahead(a hop.Ask, done time.Time) int {
 	n := 0
 	for _, w := range q.waiters {
-		if w.ask.Priority <= a.Priority {
+		if !goesBefore(a, w.ask, done) {
 			n++
 		}
 	}
