entry: no questions to remote gates that are full or suspected

Each costs 120 ms of the request and bytes that are paid for, and a slot there is taken from a request nearby when the service is overloaded everywhere.

Change: a remote gate is not asked while it is believed full (1 s) or suspected (3 s).

--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -25,6 +25,9 @@
 	// stateTrust is how long a gate's word on itself is believed. Sick targets
 	// stay so for seconds, and gates begin trials every second at most.
 	stateTrust = time.Second
+	// remoteSuspectTrust is how long a gate of another region is believed to be
+	// suspected. Asking it costs 120 ms and bytes between regions.
+	remoteSuspectTrust = 3 * time.Second
 )
 
 // candidate is a gate as an entry sees it. It is safe for concurrent use.
@@ -75,6 +78,9 @@
 	} else if c.state.Slots > 0 {
 		slots = c.state.Slots
 	}
+	if c.tier == tierRemote && v.heardAgo < remoteSuspectTrust {
+		v.suspect = c.state.Suspect
+	}
 	v.load = float64(busy) / float64(slots)
 	return v
 }
--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -92,6 +92,11 @@
 	if v.tier < p.nearest || v.tier > p.farthest {
 		return 0, false
 	}
+	if v.tier == tierRemote && (v.suspect || v.load >= 1) {
+		// A slot there would be taken from a request nearby, and the question is
+		// paid for.
+		return 0, false
+	}
 	cost = tierCosts[v.tier]
 	if v.down || v.closed {
 		return cost + hopelessCost, p.hopeful
