node, gate: a leaving node's gate takes what ends in time

Change: the gate stays open while callers may come, for requests that are expected to end in half of the time that is left, and tells targets no more time than there is. A target that leaves still closes it at once.

--- a/process/entry/absence_test.go
+++ b/process/entry/absence_test.go
@@ -39,7 +39,7 @@
 	is.True(absent.view(time.Now()).down)
 
 	g, closeGate := gate.New(gate.Options{
-		Service: "s", Headers: gateHeaders{}, Meter: gateMeter{}, Logger: hclog.NewNullLogger(), Gates: func() int { return 1 },
+		Service: "s", Headers: gateHeaders{}, Meter: gateMeter{}, Logger: hclog.NewNullLogger(), Gates: func() int { return 1 }, EndsAt: func() time.Time { return time.Time{} },
 	})
 	defer closeGate()
 	_, closeListener, err := message.Listen(address, g.Serve, func() message.Limits { return limits }, hclog.NewNullLogger())
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -42,6 +42,8 @@
 	RetryWindow time.Duration
 	// Gates returns how many gates the service has.
 	Gates func() int
+	// EndsAt returns when a leaving node ends; zero if it stays.
+	EndsAt func() time.Time
 }
 
 // Gate guards the target beside a node.
@@ -194,12 +196,28 @@
 		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
 	case !now.Before(a.Deadline):
 		return outcome.Refused(outcome.CodeNotInTime, "the deadline has passed")
+	case !g.canEnd(a, now):
+		return outcome.Refused(outcome.CodeDraining, "the node is leaving")
 	case a.Repeat && !a.Paid && !g.budget.canSpend(now, a.Priority):
 		return outcome.Refused(outcome.CodeRetryBudget, "too many requests are being sent again")
 	}
 	return nil
 }
 
+// leavingShare is how much of the time that a leaving node has left a request may
+// take on average, so that nearly none is at work when the node ends.
+const leavingShare = 0.5
+
+// canEnd reports whether the request is expected to end while the node lives; mu
+// is held.
+func (g *Gate) canEnd(a hop.Ask, now time.Time) bool {
+	ends := g.options.EndsAt()
+	if ends.IsZero() {
+		return true
+	}
+	return float64(g.target.durations.of(a.Kind)) <= leavingShare*float64(ends.Sub(now))
+}
+
 // grant is the right to run one request at the target; end must be called once.
 type grant struct {
 	began    time.Time
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -33,7 +33,7 @@
 func newGate() *Gate {
 	g, _ := New(Options{
 		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
-		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, Gates: func() int { return 12 },
+		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, Gates: func() int { return 12 }, EndsAt: func() time.Time { return time.Time{} },
 	})
 	return g
 }
@@ -192,6 +192,40 @@
 	}
 }
 
+// A leaving node's gate takes what is expected to end in time, tells its target no
+// more time than that, and nothing else.
+func TestLeavingGateTakesWhatEnds(t *testing.T) {
+	tests := []struct {
+		name  string
+		takes time.Duration
+		left  time.Duration
+		want  bool
+	}{
+		{"short, much time left", 100 * time.Millisecond, 3 * time.Second, true},
+		{"long, much time left", 2 * time.Second, 3 * time.Second, false},
+		{"short, little time left", 100 * time.Millisecond, 150 * time.Millisecond, false},
+		{"the node has ended", 100 * time.Millisecond, -time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := openGate(t)
+				ends := time.Now().Add(test.left)
+				g.options.EndsAt = func() time.Time { return ends }
+				g.target.durations.took(1, test.takes)
+				a := askFor(0)
+				a.Kind = 1
+				_, p := g.admit(t.Context(), a)
+				is.Equal(p == nil, test.want)
+				if p != nil {
+					is.Equal(p.Code, outcome.CodeDraining)
+				}
+			})
+		})
+	}
+}
+
 // occupy takes all slots.
 func occupy(t *testing.T, g *Gate) []grant {
 	t.Helper()
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -21,6 +21,9 @@
 	// answerSlack is how long after the deadline an answer is waited for; a
 	// target ends its work at the deadline and says so.
 	answerSlack = 30 * time.Millisecond
+	// relayTime is kept between a target's last word and the end of a leaving
+	// node: answerSlack, and as much for the way to the entry.
+	relayTime = 60 * time.Millisecond
 )
 
 // Serve answers a request that an entry sent.
@@ -99,7 +102,12 @@
 
 // run sends the request to the target and returns the whole answer.
 func (g *Gate) run(ctx context.Context, in *message.Incoming, ask hop.Ask, gr grant, id string, body []byte) (*message.Answer, result, *outcome.Problem) {
-	ctx, cancel := context.WithDeadline(ctx, ask.Deadline.Add(answerSlack))
+	deadline := ask.Deadline
+	if ends := g.options.EndsAt(); !ends.IsZero() && ends.Add(-relayTime).Before(deadline) {
+		// What the target cannot end while this node lives would be broken off.
+		deadline = ends.Add(-relayTime)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerSlack))
 	defer cancel()
 	freshness := freshForOnce
 	if ask.Idempotent {
@@ -112,7 +120,7 @@
 	defer g.pool.Put(conn)
 	h := message.EndToEnd(in.Header)
 	g.options.Headers.SetTarget(h, head.ToTarget{
-		ID: id, Deadline: ask.Deadline, Instance: gr.instance, CallerService: ask.CallerService,
+		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: ask.CallerService,
 	}, time.Now())
 	a, err := conn.Do(ctx, message.Request{
 		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -20,14 +20,14 @@
 	storeMargin = time.Second
 )
 
-// leave ends the node gracefully. The gate takes no more work at once; callers
-// are served until they stay away, and each answer ends its connection; the
+// leave ends the node gracefully. Callers are served until they stay away, and
+// each answer ends its connection; meanwhile the gate takes work that ends in
+// time, so that its target is missing no longer than the restart takes; the
 // target beside the node may make requests while it works.
 func (n *Node) leave(ctx context.Context) {
 	began := time.Now()
 	n.LeaveBy(began.Add(n.settings.Grace))
 	n.leaving.Store(true)
-	n.gate.Close()
 	n.logger.Info("node leaving", "requests", n.callers.Busy(), "gate_requests", n.entries.Busy(), "target_left", n.gate.HasLeft())
 	n.callers.Drain()
 	if n.gate.HasLeft() {
@@ -38,6 +38,7 @@
 	// Callers that come later still, since too few other nodes are ready, could
 	// not be answered before the deadline.
 	n.callers.Stop()
+	n.gate.Close()
 	for time.Now().Before(n.leaveBy()) && ctx.Err() == nil && !isQuiet() {
 		pause(ctx, leaveCheck)
 	}
