--- a/process/roster/buckets_test.go
+++ b/process/roster/buckets_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/go-msgpack/v2/codec"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -104,3 +105,13 @@
 	_, err = decompress([]byte("no compressed bytes"))
 	is.True(err != nil)
 }
+
+// A comparison of equal rosters is a small message, since each node begins one a
+// second; the budget for control is 3 KB a second.
+func TestComparisonIsSmall(t *testing.T) {
+	is := is.New(t)
+	var b []byte
+	x := Exchange{Sender: "10.100.100.100:12345", Digest: 1 << 63, Version: 1 << 40}
+	is.NoErr(codec.NewEncoderBytes(&b, &codec.MsgpackHandle{}).Encode(x))
+	is.True(len(b) <= 64)
+}
--- a/process/roster/record.go
+++ b/process/roster/record.go
@@ -6,20 +6,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Record is what the fleet knows of a node.
+// Record is what the fleet knows of a node. Its names between nodes are short,
+// since bytes between regions are paid for.
 type Record struct {
 	// Node is the address of the node's control calls. It names the node.
-	Node string `json:"node"`
+	Node string `json:"node" codec:"n"`
 	// Gate is where the node takes requests for the target beside it.
-	Gate       string `json:"gate"`
-	Service    string `json:"service"`
-	DataCentre string `json:"data_centre"`
-	Region     string `json:"region"`
+	Gate       string `json:"gate" codec:"g"`
+	Service    string `json:"service" codec:"s"`
+	DataCentre string `json:"data_centre" codec:"d"`
+	Region     string `json:"region" codec:"r"`
 	// Issue orders the records of one address: the start of the process, in
 	// Unix ms, or a later number if a record with a later one was met.
-	Issue int64 `json:"issue"`
+	Issue int64 `json:"issue" codec:"i"`
 	// Gone means that the node left for good.
-	Gone bool `json:"gone,omitempty"`
+	Gone bool `json:"gone,omitempty" codec:"x,omitempty"`
 }
 
 func (r Record) valid() bool { return r.Node != "" && r.Gate != "" && r.Service != "" }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -106,7 +106,7 @@
 func (f *fleet) Call(_ context.Context, address, method string, args, reply any) error {
 	f.mu.Lock()
 	r := f.receivers[address]
-	isCut := f.cut[address] || f.cut[args.(Exchange).Sender.Node]
+	isCut := f.cut[address] || f.cut[args.(Exchange).Sender]
 	f.mu.Unlock()
 	if r == nil || isCut {
 		return errCut
--- a/process/roster/spread.go
+++ b/process/roster/spread.go
@@ -26,26 +26,27 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Exchange is what nodes tell each other.
+// Exchange is what nodes tell each other. Its names are short, since nodes
+// compare each second and bytes between regions are paid for.
 type Exchange struct {
-	// Sender is the sender's own record; an answer has none.
-	Sender Record
+	// Sender is the address of the sender's control calls; an answer has none.
+	Sender string `codec:"s,omitempty"`
 	// Digest is that of the sender's roster.
-	Digest uint64
+	Digest uint64 `codec:"d,omitempty"`
 	// Version is the newest configuration that the sender has or has heard of,
 	// and Holder a node that has it; empty means the sender itself.
-	Version uint64
-	Holder  string
+	Version uint64 `codec:"v,omitempty"`
+	Holder  string `codec:"h,omitempty"`
 	// Buckets are the digests of the parts of the sender's roster; see
 	// Roster.Buckets. They are sent when the digests differ.
-	Buckets []uint64
+	Buckets []uint64 `codec:"b,omitempty"`
 	// Records are what the other side may lack. Wanted are the buckets, of so
 	// many, whose records the sender wants in return.
-	Records     []Record
-	Wanted      []int
-	BucketCount int
+	Records     []Record `codec:"r,omitempty"`
+	Wanted      []int    `codec:"w,omitempty"`
+	BucketCount int      `codec:"n,omitempty"`
 	// Configuration is encoded and compressed.
-	Configuration []byte
+	Configuration []byte `codec:"c,omitempty"`
 }
 
 // Names of the calls between nodes.
@@ -186,7 +187,7 @@
 		if !ok {
 			return
 		}
-		go s.call(ctx, to, methodTell, Exchange{Sender: s.roster.Self(), Records: news}, &Exchange{})
+		go s.call(ctx, to, methodTell, Exchange{Sender: s.self(), Records: news}, &Exchange{})
 	}
 }
 
@@ -196,7 +197,7 @@
 	for range fanout {
 		go func() {
 			if to, ok := s.pick(); ok {
-				s.call(ctx, to, methodTell, Exchange{Sender: s.roster.Self(), Records: []Record{r}}, &Exchange{})
+				s.call(ctx, to, methodTell, Exchange{Sender: s.self(), Records: []Record{r}}, &Exchange{})
 			}
 			done <- struct{}{}
 		}()
@@ -215,7 +216,7 @@
 }
 
 func (s *Spread) compareWith(ctx context.Context, to Record) {
-	ask := Exchange{Sender: s.roster.Self(), Digest: s.roster.Digest()}
+	ask := Exchange{Sender: s.self(), Digest: s.roster.Digest()}
 	ask.Version, ask.Holder = s.newestKnown()
 	var got Exchange
 	if !s.call(ctx, to, methodCompare, ask, &got) {
@@ -226,7 +227,7 @@
 		return
 	}
 	own := s.roster.Buckets(len(got.Buckets))
-	give := Exchange{Sender: s.roster.Self(), BucketCount: len(own)}
+	give := Exchange{Sender: s.self(), BucketCount: len(own)}
 	for i := range own {
 		if own[i] != got.Buckets[i] {
 			give.Wanted = append(give.Wanted, i)
@@ -257,7 +258,7 @@
 // hearVersion notes that a node has a configuration of a version.
 func (s *Spread) hearVersion(holder string, version uint64) {
 	known, _ := s.newestKnown()
-	if own, _ := s.configurations.Newest(); version <= own || holder == s.roster.Self().Node {
+	if own, _ := s.configurations.Newest(); version <= own || holder == s.self() {
 		return
 	}
 	s.mu.Lock()
@@ -296,7 +297,7 @@
 	}
 	own, _ := s.configurations.Newest()
 	var got Exchange
-	if !s.call(ctx, Record{Node: holder}, methodFetch, Exchange{Sender: s.roster.Self(), Version: own}, &got) {
+	if !s.call(ctx, Record{Node: holder}, methodFetch, Exchange{Sender: s.self(), Version: own}, &got) {
 		// Comparisons will name a holder again.
 		s.mu.Lock()
 		s.heard = heldVersion{}
@@ -307,6 +308,9 @@
 	s.takeConfiguration(got.Configuration, holder)
 }
 
+// self returns the name of the own node.
+func (s *Spread) self() string { return s.roster.Self().Node }
+
 func (s *Spread) call(ctx context.Context, to Record, method string, args Exchange, reply *Exchange) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -363,8 +367,7 @@
 // Compare answers with the own digests.
 func (r *Receiver) Compare(ask Exchange, answer *Exchange) error {
 	s := r.spread
-	s.Merge([]Record{ask.Sender})
-	s.hearVersion(cmp.Or(ask.Holder, ask.Sender.Node), ask.Version)
+	s.hearVersion(cmp.Or(ask.Holder, ask.Sender), ask.Version)
 	answer.Version, answer.Holder = s.newestKnown()
 	answer.Digest = s.roster.Digest()
 	if ask.Digest != answer.Digest {
@@ -377,7 +380,7 @@
 func (r *Receiver) Tell(news Exchange, answer *Exchange) error {
 	s := r.spread
 	wanted := s.roster.InBuckets(news.Wanted, news.BucketCount)
-	s.Merge(append(news.Records, news.Sender))
+	s.Merge(news.Records)
 	answer.Records = wanted
 	return nil
 }
