--- a/connection/hop/hop.go
+++ b/connection/hop/hop.go
@@ -43,9 +43,6 @@
 	Priority int
 	// Repeat means that a target has been sent the request before.
 	Repeat bool
-	// OfRepeat means that the request may be one that a repeated request makes in
-	// its turn, which counts as a repeat too.
-	OfRepeat bool
 	// Paid means that a gate that failed the request has paid for its being
 	// sent again.
 	Paid bool
@@ -75,7 +72,7 @@
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{"q", a.IsQuestion}, {"i", a.Idempotent}, {"r", a.Repeat}, {"o", a.OfRepeat}, {"k", a.Paid}, {"f", a.MayFail}} {
+	}{{"q", a.IsQuestion}, {"i", a.Idempotent}, {"r", a.Repeat}, {"k", a.Paid}, {"f", a.MayFail}} {
 		if f.set {
 			b.WriteString(";" + f.name + "=1")
 		}
@@ -97,7 +94,7 @@
 	kind, _ := strconv.ParseUint(f["t"], 36, 32)
 	return Ask{
 		Service: f["s"], CallerService: f["c"], Priority: priority, Kind: uint32(kind),
-		IsQuestion: f["q"] != "", Idempotent: f["i"] != "", Repeat: f["r"] != "", OfRepeat: f["o"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
+		IsQuestion: f["q"] != "", Idempotent: f["i"] != "", Repeat: f["r"] != "", Paid: f["k"] != "", MayFail: f["f"] != "",
 		AimAt:     arrived.Add(time.Duration(aim) * time.Millisecond),
 		Deadline:  arrived.Add(time.Duration(left) * time.Millisecond),
 		WaitUntil: arrived.Add(time.Duration(wait) * time.Millisecond),
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -271,7 +271,7 @@
 	ask := hop.Ask{
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
 		Kind:     uint32(xxhash.Sum64String(c.route.Name)),
-		Priority: c.route.Priority, Repeat: j.isRepeat(), OfRepeat: c.ofRepeat, Paid: j.usesPaid(),
+		Priority: c.route.Priority, Repeat: j.isRepeat(), Paid: j.usesPaid(),
 		AimAt: c.in.Arrived.Add(c.targetLatency()), Deadline: c.deadline, WaitUntil: now.Add(p.waitFor(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	ask.MayFail = c.route.Idempotent && j.sent+j.open < c.route.MaxAttempts
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -48,9 +48,6 @@
 	Meter          Meter
 	// EndsAt returns when a leaving node ends; zero if it stays.
 	EndsAt func() time.Time
-	// MayComeOfRepeat reports whether a request with the deadline may have been
-	// made by a repeat that runs at the target beside the node.
-	MayComeOfRepeat func(deadline time.Time) bool
 }
 
 // Entry takes requests from callers.
@@ -79,7 +76,6 @@
 	route    configuration.Route
 	service  string
 	deadline time.Time
-	ofRepeat bool
 }
 
 // relayTime is kept between a target's last word and the end of a leaving node:
@@ -123,7 +119,6 @@
 		return c, outcome.Refused(outcome.CodeCallerGone, "the body did not come: %v", err)
 	}
 	c.body = body
-	c.ofRepeat = e.options.MayComeOfRepeat(caller.Deadline)
 	if current.Version == 0 {
 		return c, outcome.Refused(outcome.CodeNotReady, "no configuration is known yet").WithRetryAt(time.Now().Add(notReadyRetry))
 	}
--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -22,10 +22,11 @@
 
 // Shares of the fleet's bound that the gates use together: of the ratio, and of
 // the slack of each window what they hold at its beginning and what they earn
-// within it. The rest is for what comes after a gate's part is used up: requests
-// that a repeat makes in its turn are taken out of it and never refused.
+// within it. The rest is for requests that a repeated request makes in its
+// turn, which no gate can tell: two in five of the ratio, since a sick service
+// has its callers repeat as well.
 const (
-	ratioShare = 0.85
+	ratioShare = 0.6
 	heldShare  = 0.35
 	timeShare  = 0.5
 	// priorityShare of the most that a budget holds is kept from each rank of
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,13 +51,11 @@
 	options Options
 	pool    *message.Pool
 
-	mu     sync.Mutex
-	target target
-	queue  queue
-	budget budget
-	gates  int
-	// repeats are the deadlines of the repeats that run.
-	repeats []time.Time
+	mu      sync.Mutex
+	target  target
+	queue   queue
+	budget  budget
+	gates   int
 	closing bool
 }
 
@@ -225,7 +222,7 @@
 type grant struct {
 	began    time.Time
 	instance string
-	ask      hop.Ask
+	kind     uint32
 	trial    bool
 }
 
@@ -293,7 +290,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.grantFor(a, false, time.Now()), nil
+	return grant{began: time.Now(), instance: g.target.announced.Instance, kind: a.Kind}, nil
 }
 
 func (g *Gate) meanServiceTime() time.Duration {
@@ -310,37 +307,12 @@
 	g.target.running++
 	switch {
 	case a.Paid:
-	case a.Repeat, a.OfRepeat:
+	case a.Repeat:
 		g.budget.spend()
 	default:
 		g.budget.earn(now)
 	}
-	if a.Repeat || a.OfRepeat {
-		g.repeats = append(g.repeats, a.Deadline)
-	}
-	return g.grantFor(a, trial, now)
-}
-
-// grantFor returns the grant of an ask that has its slot; mu is held.
-func (g *Gate) grantFor(a hop.Ask, trial bool, now time.Time) grant {
-	return grant{ask: a, began: now, instance: g.target.announced.Instance, trial: trial}
-}
-
-// repeatSlack allows for the way from the target's clock to the entry's: a
-// request that a running request makes has the deadline of that one at most.
-const repeatSlack = 50 * time.Millisecond
-
-// MayComeOfRepeat reports whether a request that the target beside the node may
-// have made, with such a deadline, may be one of a repeat that runs there.
-func (g *Gate) MayComeOfRepeat(deadline time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, d := range g.repeats {
-		if !deadline.After(d.Add(repeatSlack)) {
-			return true
-		}
-	}
-	return false
+	return grant{began: now, instance: g.target.announced.Instance, kind: a.Kind, trial: trial}
 }
 
 // payRepeat pays for sending a failed request to another target, if the budget
@@ -395,9 +367,6 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.target.running--
-	if i := slices.Index(g.repeats, gr.ask.Deadline); i >= 0 && (gr.ask.Repeat || gr.ask.OfRepeat) {
-		g.repeats = slices.Delete(g.repeats, i, i+1)
-	}
 	if gr.trial {
 		g.target.trust.TrialEnded()
 	}
@@ -416,7 +385,7 @@
 	switch learned {
 	case resultProved:
 		g.target.trust.Proved(now)
-		g.target.durations.took(gr.ask.Kind, now.Sub(gr.began))
+		g.target.durations.took(gr.kind, now.Sub(gr.began))
 	case resultShed:
 		g.target.shedAt = now
 	case resultErred:
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -112,7 +112,6 @@
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.roster, Configurations: n.current,
 		Headers: n.around.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, EndsAt: n.endsAt,
-		MayComeOfRepeat: g.MayComeOfRepeat,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
