gate: waiters that are not expected to get a slot in time are refused

Change: when a slot becomes free, waiters whose expected wait has grown beyond what they may wait, by a quarter, are refused, and their entries can ask elsewhere.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -243,7 +243,7 @@
 	case judgement.Tried:
 		trial = true
 	}
-	work, isNext := g.queue.workAhead(a, g.order(now))
+	work, isNext := g.queue.workAhead(a, len(g.queue.waiters), g.order(now))
 	if g.target.running < g.target.announced.Slots && isNext {
 		gr := g.take(a, now, trial)
 		g.mu.Unlock()
@@ -346,6 +346,7 @@
 		g.take(w.ask, now, false)
 		w.decided <- nil
 	}
+	g.queue.dropHopeless(g.order(now), g.target.announced.Slots)
 }
 
 // result is what the gate learned from a request about its target.
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -371,13 +372,50 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			work, isNext := q.workAhead(test.ask, o)
+			work, isNext := q.workAhead(test.ask, len(q.waiters), o)
 			is.True(!isNext)
 			is.Equal(expectedWait(work, o.durations.all, 3), test.want)
 		})
 	}
 }
 
+// A waiter that others have gone before is refused when it is not expected to get
+// a slot in time, not when its time is over; the rest goes on waiting.
+func TestHopelessWaitersAreRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := order{now: now, durations: &durations{all: 100 * time.Millisecond, byKind: map[uint32]time.Duration{}}}
+	ask := func(aim, wait time.Duration) hop.Ask { return hop.Ask{AimAt: now.Add(aim), WaitUntil: now.Add(wait)} }
+	tests := []struct {
+		name    string
+		waiting []hop.Ask
+		kept    []bool
+	}{
+		{"alone", []hop.Ask{ask(-time.Second, time.Millisecond)}, []bool{true}},
+		{"enough time", []hop.Ask{ask(time.Second, time.Second), ask(2*time.Second, time.Second)}, []bool{true, true}},
+		{"late, behind those in time", []hop.Ask{ask(-time.Second, 150*time.Millisecond), ask(time.Second, time.Second), ask(time.Second, time.Second), ask(time.Second, time.Second), ask(time.Second, time.Second)}, []bool{false, true, true, true, true}},
+		{"equal ones by arrival", []hop.Ask{ask(time.Second, 100*time.Millisecond), ask(time.Second, 100*time.Millisecond), ask(time.Second, 100*time.Millisecond)}, []bool{true, true, false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var q queue
+			var pushed []*waiter
+			for _, a := range test.waiting {
+				pushed = append(pushed, q.push(a))
+			}
+			q.dropHopeless(o, 2)
+			for i, w := range pushed {
+				is.Equal(slices.Contains(q.waiters, w), test.kept[i])
+				if !test.kept[i] {
+					p := <-w.decided
+					is.Equal(p.Code, outcome.CodeFull)
+					is.True(p.RetryAt.After(now))
+				}
+			}
+		})
+	}
+}
+
 // The mean of a kind follows what its requests take; kinds beyond the bound count
 // as the mean of all.
 func TestDurations(t *testing.T) {
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -77,12 +77,14 @@
 	return best
 }
 
-// workAhead is how long the waiters that an ask would wait behind will hold
-// their slots together. none reports that there is no such waiter.
-func (q *queue) workAhead(a hop.Ask, o order) (work time.Duration, none bool) {
+// workAhead is how long the waiters that an ask waits behind will hold their
+// slots together. arrived is how many waiters came before it. none reports that
+// it goes before all.
+func (q *queue) workAhead(a hop.Ask, arrived int, o order) (work time.Duration, none bool) {
 	none = true
-	for _, w := range q.waiters {
-		if !o.before(a, w.ask) {
+	for i, w := range q.waiters {
+		isAhead := i < arrived && !o.before(a, w.ask) || i > arrived && o.before(w.ask, a)
+		if isAhead {
 			work += o.durations.of(w.ask.Kind)
 			none = false
 		}
@@ -90,6 +92,27 @@
 	return work, none
 }
 
+// hopelessShare is by how much the expected wait of a waiter must exceed what it
+// may wait, so that it is refused early: the expectation is a mean.
+const hopelessShare = 1.25
+
+// dropHopeless refuses the waiters that are not expected to get one of the slots
+// in time, since more urgent ones have come meanwhile: their entries can still ask
+// elsewhere, and callers are not held up for nothing.
+func (q *queue) dropHopeless(o order, slots int) {
+	kept := make([]*waiter, 0, len(q.waiters))
+	for i, w := range q.waiters {
+		work, isNext := q.workAhead(w.ask, i, o)
+		wait := expectedWait(work, o.durations.all, slots)
+		if isNext || float64(wait) <= hopelessShare*float64(w.ask.WaitUntil.Sub(o.now)) {
+			kept = append(kept, w)
+			continue
+		}
+		w.decided <- outcome.Refused(outcome.CodeFull, "the wait for a slot has grown to about %d ms", wait.Milliseconds()).WithRetryAt(o.now.Add(wait))
+	}
+	q.waiters = kept
+}
+
 // drain refuses every waiter that keep does not allow.
 func (q *queue) drain(keep func(hop.Ask) bool, p *outcome.Problem) {
 	kept := q.waiters[:0]
