entry: gates that were full are asked again when they expect room

Change: a request asks a gate that was full again only if room is expected before it may wait no longer.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -61,6 +61,8 @@
 	unsure *outcome.Problem
 	// paid counts the repeats that gates have paid for and that are not used yet.
 	paid int
+	// roomAt is when gates that were full expect room for the request.
+	roomAt map[*candidate]time.Time
 	// retryAt is the earliest time at which a gate expects room.
 	retryAt time.Time
 	// budgetRefusals counts gates that had no retry left.
@@ -92,7 +94,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errAnswered)
 	// Each ask has one result and may be slow once before.
-	j := &journey{call: c, results: make(chan result, 2*maxAsks), lostAt: map[*candidate]bool{}}
+	j := &journey{call: c, results: make(chan result, 2*maxAsks), lostAt: map[*candidate]bool{}, roomAt: map[*candidate]time.Time{}}
 	e.rounds(ctx, j)
 	// A target that is still at work may answer yet.
 	for j.answer == nil && j.open > 0 {
@@ -154,7 +156,11 @@
 		for i, c := range candidates {
 			views[i] = c.view(now)
 		}
-		i := p.choose(views, func(i int) bool { return tried[i] || j.lostAt[candidates[i]] }, request{mayFail: j.mayFail(), once: !j.call.route.Idempotent}, rand.Float64)
+		latest := now.Add(p.waitFor(j.call.targetLatency(), j.call.deadline.Sub(now)))
+		isOut := func(i int) bool {
+			return tried[i] || j.lostAt[candidates[i]] || j.roomAt[candidates[i]].After(latest)
+		}
+		i := p.choose(views, isOut, request{mayFail: j.mayFail(), once: !j.call.route.Idempotent}, rand.Float64)
 		if i < 0 {
 			return false
 		}
@@ -204,6 +210,9 @@
 	if r.problem.Outcome == outcome.Unknown || r.problem.Code == outcome.CodeRetryBudget {
 		j.lostAt[r.from] = true
 	}
+	if r.problem.Code == outcome.CodeFull {
+		j.roomAt[r.from] = r.problem.RetryAt
+	}
 	return j.goesOn(r.problem)
 }
 
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -299,6 +299,36 @@
 	}
 }
 
+// A gate that was full is asked again only if it expects room before the request
+// may wait no longer.
+func TestFullGateIsAskedWhenItHasRoom(t *testing.T) {
+	tests := []struct {
+		name   string
+		roomIn time.Duration
+		least  int64
+		most   int64
+	}{
+		{"room soon", 50 * time.Millisecond, 2, maxAsks},
+		{"room too late", 5 * time.Second, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var asks atomic.Int64
+			f := newFleet(t, func(context.Context, *message.Incoming, func()) *message.Answer {
+				asks.Add(1)
+				return reply(http.StatusServiceUnavailable, outcome.Refused(outcome.CodeFull, "test").WithRetryAt(time.Now().Add(test.roomIn)), "")
+			})
+			began := time.Now()
+			a := f.call(t, "/claim/")
+			is.Equal(a.Status, http.StatusServiceUnavailable)
+			is.True(a.Header.Get("Retry-After") != "")
+			is.True(asks.Load() >= test.least && asks.Load() <= test.most)
+			is.True(time.Since(began) < 600*time.Millisecond) // the route's target latency
+		})
+	}
+}
+
 // A leaving node gives targets no more time than it has left itself, so that a
 // target ends its work by itself and the node breaks nothing off.
 func TestLeavingNodeGivesNoMoreTimeThanItHas(t *testing.T) {
