entry: requests just after a start wait for the first configuration

Change: for 0.6 s after its start an entry lets requests wait for the first configuration; afterwards they are told at once to come back.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -27,6 +27,8 @@
 // Configurations is the configuration in force.
 type Configurations interface {
 	Configuration() configuration.Configuration
+	// Changed returns a channel that is closed when another one comes into force.
+	Changed() <-chan struct{}
 }
 
 // Meter counts what the entry does.
@@ -54,6 +56,8 @@
 type Entry struct {
 	options   Options
 	directory *directory
+	// started is when the entry was made.
+	started time.Time
 
 	mu sync.Mutex
 	// points are the last points of the routes' sequences, by route.
@@ -63,7 +67,7 @@
 // New returns an entry and a function that closes its connections to gates.
 func New(o Options) (*Entry, func()) {
 	d := newDirectory(o.Nodes, o.DataCentre, o.Region)
-	return &Entry{options: o, directory: d, points: map[string]float64{}}, d.close
+	return &Entry{options: o, directory: d, started: time.Now(), points: map[string]float64{}}, d.close
 }
 
 // call is a request on its way.
@@ -82,6 +86,31 @@
 // a gate and an entry wait 110 ms beyond the deadline (answerSlack, finalSlack).
 const relayTime = 150 * time.Millisecond
 
+// firstConfiguration is how long after its start an entry lets requests wait for
+// the first configuration: dialling the store of another region and reading it
+// takes 120 ms, on a VM that starts at the same time as all others.
+const firstConfiguration = 600 * time.Millisecond
+
+// configuration returns the one in force. Just after a start, which mostly comes
+// with requests that waited for the node, it waits for the first one.
+func (e *Entry) configuration(ctx context.Context) configuration.Configuration {
+	timer := time.NewTimer(time.Until(e.started.Add(firstConfiguration)))
+	defer timer.Stop()
+	for {
+		changed := e.options.Configurations.Changed()
+		if c := e.options.Configurations.Configuration(); c.Version > 0 {
+			return c
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return e.options.Configurations.Configuration()
+		case <-ctx.Done():
+			return e.options.Configurations.Configuration()
+		}
+	}
+}
+
 // notReadyRetry is when callers may come back to a node that knows no
 // configuration yet; it learns one within a second of the store's answer.
 const notReadyRetry = 500 * time.Millisecond
@@ -112,13 +141,14 @@
 // read finds the request's route and reads its body.
 func (e *Entry) read(ctx context.Context, in *message.Incoming) (*call, *outcome.Problem) {
 	caller := e.options.Headers.Caller(in.Header, in.Arrived)
-	current := e.options.Configurations.Configuration()
-	c := &call{id: caller.ID, in: in, version: current.Version, deadline: caller.Deadline}
+	c := &call{id: caller.ID, in: in, deadline: caller.Deadline}
 	body, err := in.Body(ctx)
 	if err != nil {
 		return c, outcome.Refused(outcome.CodeCallerGone, "the body did not come: %v", err)
 	}
 	c.body = body
+	current := e.configuration(ctx)
+	c.version = current.Version
 	if current.Version == 0 {
 		return c, outcome.Refused(outcome.CodeNotReady, "no configuration is known yet").WithRetryAt(time.Now().Add(notReadyRetry))
 	}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -37,6 +37,23 @@
 type fixedConfiguration struct{ held configuration.Configuration }
 
 func (c fixedConfiguration) Configuration() configuration.Configuration { return c.held }
+func (fixedConfiguration) Changed() <-chan struct{}                     { return nil }
+
+// laterConfiguration has none until its channel is closed.
+type laterConfiguration struct {
+	fixedConfiguration
+	changed chan struct{}
+}
+
+func (c laterConfiguration) Changed() <-chan struct{} { return c.changed }
+func (c laterConfiguration) Configuration() configuration.Configuration {
+	select {
+	case <-c.changed:
+		return c.held
+	default:
+		return configuration.Configuration{}
+	}
+}
 
 // conduct is what a fake gate does with a request. got tells whether the gate
 // asked for the request's end, without which nothing can run.
@@ -381,11 +398,39 @@
 	is := is.New(t)
 	f := newFleet(t, serves("a"))
 	f.entry.options.Configurations = fixedConfiguration{}
+	f.entry.started = time.Now().Add(-firstConfiguration)
 	a := f.call(t, "/read/")
 	is.Equal(a.Status, http.StatusServiceUnavailable)
 	is.Equal(a.Header.Get("Retry-After"), "0.500")
 }
 
+// Just after a start requests wait for the first configuration; later they are
+// told at once to come back.
+func TestFirstConfigurationIsAwaited(t *testing.T) {
+	tests := []struct {
+		name       string
+		age, after time.Duration
+		status     int
+	}{
+		{"soon after the start", 0, 100 * time.Millisecond, http.StatusOK},
+		{"too late after the start", 0, 2 * firstConfiguration, http.StatusServiceUnavailable},
+		{"long after the start", 2 * firstConfiguration, 100 * time.Millisecond, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, serves("a"))
+			later := laterConfiguration{f.entry.options.Configurations.(fixedConfiguration), make(chan struct{})}
+			f.entry.options.Configurations = later
+			f.entry.started = time.Now().Add(-test.age)
+			timer := time.AfterFunc(test.after, func() { close(later.changed) })
+			defer timer.Stop()
+			is.Equal(f.call(t, "/read/").Status, test.status)
+		})
+	}
+}
+
 // Few requests fall to the parts of a route by their weights.
 func TestPointsAreEven(t *testing.T) {
 	is := is.New(t)
