--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -120,7 +120,9 @@
 				return
 			}
 		}
-		if time.Now().After(giveUp) || j.open > 0 || len(e.directory.candidates(c.service)) == 0 {
+		now := time.Now()
+		isKnown := len(e.directory.candidates(c.service)) > 0 || now.Before(e.started.Add(startTime))
+		if now.After(giveUp) || j.open > 0 || !isKnown {
 			return
 		}
 		select {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -86,15 +86,15 @@
 // a gate and an entry wait 110 ms beyond the deadline (answerSlack, finalSlack).
 const relayTime = 150 * time.Millisecond
 
-// firstConfiguration is how long after its start an entry lets requests wait for
-// the first configuration: dialling the store of another region and reading it
+// startTime is how long after its start an entry lets requests wait for the first
+// configuration and for the first nodes of their service: dialling the store of another region and reading it
 // takes 120 ms, on a VM that starts at the same time as all others.
-const firstConfiguration = 600 * time.Millisecond
+const startTime = 600 * time.Millisecond
 
 // configuration returns the one in force. Just after a start, which mostly comes
 // with requests that waited for the node, it waits for the first one.
 func (e *Entry) configuration(ctx context.Context) configuration.Configuration {
-	timer := time.NewTimer(time.Until(e.started.Add(firstConfiguration)))
+	timer := time.NewTimer(time.Until(e.started.Add(startTime)))
 	defer timer.Stop()
 	for {
 		changed := e.options.Configurations.Changed()
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -398,7 +398,7 @@
 	is := is.New(t)
 	f := newFleet(t, serves("a"))
 	f.entry.options.Configurations = fixedConfiguration{}
-	f.entry.started = time.Now().Add(-firstConfiguration)
+	f.entry.started = time.Now().Add(-startTime)
 	a := f.call(t, "/read/")
 	is.Equal(a.Status, http.StatusServiceUnavailable)
 	is.Equal(a.Header.Get("Retry-After"), "0.500")
@@ -413,8 +413,8 @@
 		status     int
 	}{
 		{"soon after the start", 0, 100 * time.Millisecond, http.StatusOK},
-		{"too late after the start", 0, 2 * firstConfiguration, http.StatusServiceUnavailable},
-		{"long after the start", 2 * firstConfiguration, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		{"too late after the start", 0, 2 * startTime, http.StatusServiceUnavailable},
+		{"long after the start", 2 * startTime, 100 * time.Millisecond, http.StatusServiceUnavailable},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -431,6 +431,41 @@
 	}
 }
 
+// laterNodes are unknown until a time.
+type laterNodes struct {
+	fixedNodes
+	from time.Time
+}
+
+func (n laterNodes) Version() uint64 { return uint64(len(n.Nodes())) }
+func (n laterNodes) Nodes() []roster.Record {
+	if time.Now().Before(n.from) {
+		return nil
+	}
+	return n.fixedNodes
+}
+
+// Just after a start requests wait for the nodes of their service as well.
+func TestFirstNodesAreAwaited(t *testing.T) {
+	tests := []struct {
+		name   string
+		age    time.Duration
+		status int
+	}{
+		{"soon after the start", 0, http.StatusOK},
+		{"long after the start", 2 * startTime, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, serves("a"))
+			f.entry.directory.nodes = laterNodes{f.entry.options.Nodes.(fixedNodes), time.Now().Add(80 * time.Millisecond)}
+			f.entry.started = time.Now().Add(-test.age)
+			is.Equal(f.call(t, "/read/").Status, test.status)
+		})
+	}
+}
+
 // Few requests fall to the parts of a route by their weights.
 func TestPointsAreEven(t *testing.T) {
 	is := is.New(t)
