--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -79,9 +79,14 @@
 	return &Problem{Outcome: NotRun, Code: code, Status: statusOf(code), Detail: fmt.Sprintf(format, args...)}
 }
 
-// Failed returns a problem whose outcome is unknown.
+// Failed returns a problem whose outcome is unknown. Its status promises nothing,
+// also if the code is one of a refusal.
 func Failed(code Code, format string, args ...any) *Problem {
-	return &Problem{Outcome: Unknown, Code: code, Status: statusOf(code), Detail: fmt.Sprintf(format, args...)}
+	status := statusOf(code)
+	if status != http.StatusGatewayTimeout {
+		status = http.StatusBadGateway
+	}
+	return &Problem{Outcome: Unknown, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
 }
 
 // statusOf returns the status that callers get. 503 promises that the request
