message: the test of stale connections waits until the answer is counted

The answer reaches the caller before the listener's writer has counted it, and closeIdle passes over a connection that still has a request open, so that the close that the test waits for never came. In the product such a connection is closed with the next request or at the end.

--- a/connection/message/message_test.go
+++ b/connection/message/message_test.go
@@ -389,6 +389,9 @@
 	is.True(!use(time.Minute))
 	is.True(use(time.Minute))
 	is.True(!use(0)) // too long idle
+	for l.Busy() > 0 { // the answer is here before the listener has counted it
+		time.Sleep(time.Millisecond)
+	}
 	l.closeIdle()
 	for range 100 { // until the close has arrived
 		if !pool.idle[0].isQuiet() {
