roster: a holder without the configuration is named no more

Cause: found by reading. A node that was named as having a version, and had started again without it, answered a fetch with nothing; the others went on naming it and asking it once for each comparison.

The test failed for that case before.

--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -199,3 +199,28 @@
 		})
 	}
 }
+
+// A holder that has started again without the configuration, or cannot be reached,
+// is named no more.
+func TestHolderWithoutTheConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		isCut bool
+	}{{"started again", false}, {"cut", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t.Context(), 2)
+			a, b := f.receivers[record(0, 1).Node].spread, record(1, 1).Node
+			f.mu.Lock()
+			f.cut[b] = test.isCut
+			f.mu.Unlock()
+			a.mu.Lock()
+			a.heard = heldVersion{holder: b, version: 9}
+			a.mu.Unlock()
+			a.fetch(t.Context())
+			version, holder := a.newestKnown()
+			is.Equal(version, uint64(0))
+			is.Equal(holder, "")
+		})
+	}
+}
--- a/process/roster/spread.go
+++ b/process/roster/spread.go
@@ -297,8 +297,9 @@
 	}
 	own, _ := s.configurations.Newest()
 	var got Exchange
-	if !s.call(ctx, Record{Node: holder}, methodFetch, Exchange{Sender: s.self(), Version: own}, &got) {
-		// Comparisons will name a holder again.
+	if !s.call(ctx, Record{Node: holder}, methodFetch, Exchange{Sender: s.self(), Version: own}, &got) || len(got.Configuration) == 0 {
+		// It cannot be reached or has started again without it. Comparisons will
+		// name a holder again.
 		s.mu.Lock()
 		s.heard = heldVersion{}
 		s.mu.Unlock()
