--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
-	"pgregory.net/rapid"
 )
 
 type noHeaders struct{}
@@ -301,140 +299,6 @@
 	})
 }
 
-// When more work comes than can be done by the time that is aimed at, requests
-// that can still be in time go before those that cannot, and of those the ones
-// with the nearest aim; a request that another one's run waits for aims at a
-// short time.
-func TestQueueOrderUnderOverload(t *testing.T) {
-	now := time.Unix(1000, 0)
-	const short, long = 1, 2
-	o := order{now: now, durations: &durations{all: 100 * time.Millisecond, byKind: map[uint32]time.Duration{short: 30 * time.Millisecond, long: 150 * time.Millisecond}}}
-	aims := func(ms ...int) []hop.Ask {
-		var out []hop.Ask
-		for _, m := range ms {
-			out = append(out, hop.Ask{Kind: long, Priority: 1, AimAt: now.Add(time.Duration(m) * time.Millisecond)})
-		}
-		return out
-	}
-	urgent := aims(900)[0]
-	urgent.Priority = 0
-	call := aims(-100)[0]
-	call.Kind = short
-	tests := []struct {
-		name    string
-		waiting []hop.Ask
-		want    []int
-	}{
-		{"the nearest aim first", aims(800, 200, 400), []int{1, 2, 0}},
-		{"equal ones by arrival", aims(300, 300), []int{0, 1}},
-		{"those in time before late ones", aims(-500, 100, 700), []int{2, 0, 1}},
-		{"a short one, though it is late", append(aims(-500, 700), call), []int{2, 1, 0}},
-		{"the most urgent first, whatever its aim", append(aims(150), urgent), []int{1, 0}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			var q queue
-			index := map[*waiter]int{}
-			for i, a := range test.waiting {
-				index[q.push(a)] = i
-			}
-			var got []int
-			for w := q.pop(o, func(hop.Ask) bool { return true }); w != nil; w = q.pop(o, func(hop.Ask) bool { return true }) {
-				got = append(got, index[w])
-			}
-			is.Equal(got, test.want)
-		})
-	}
-}
-
-// A request that is short and goes first is told a short wait, whatever waits
-// behind it.
-func TestExpectedWait(t *testing.T) {
-	now := time.Unix(1000, 0)
-	const short, long = 1, 2
-	o := order{now: now, durations: &durations{all: 120 * time.Millisecond, byKind: map[uint32]time.Duration{short: 30 * time.Millisecond, long: 150 * time.Millisecond}}}
-	ask := func(kind uint32, aim time.Duration) hop.Ask { return hop.Ask{Kind: kind, AimAt: now.Add(aim)} }
-	var q queue
-	for range 4 {
-		q.push(ask(long, 800*time.Millisecond))
-	}
-	q.push(ask(short, 100*time.Millisecond))
-	tests := []struct {
-		name string
-		ask  hop.Ask
-		want time.Duration
-	}{
-		{"short", ask(short, 150*time.Millisecond), (30 + 120) * time.Millisecond / 3},
-		{"long", ask(long, time.Second), (30 + 4*150 + 120) * time.Millisecond / 3},
-		{"unknown kind", ask(9, time.Second), (30 + 4*150 + 120) * time.Millisecond / 3},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			work, isNext := q.workAhead(test.ask, len(q.waiters), o)
-			is.True(!isNext)
-			is.Equal(expectedWait(work, o.durations.all, 3), test.want)
-		})
-	}
-}
-
-// A waiter that others have gone before is refused when it is not expected to get
-// a slot in time, not when its time is over; the rest goes on waiting.
-func TestHopelessWaitersAreRefused(t *testing.T) {
-	now := time.Unix(1000, 0)
-	o := order{now: now, durations: &durations{all: 100 * time.Millisecond, byKind: map[uint32]time.Duration{}}}
-	ask := func(aim, wait time.Duration) hop.Ask { return hop.Ask{AimAt: now.Add(aim), WaitUntil: now.Add(wait)} }
-	tests := []struct {
-		name    string
-		waiting []hop.Ask
-		kept    []bool
-	}{
-		{"alone", []hop.Ask{ask(-time.Second, time.Millisecond)}, []bool{true}},
-		{"enough time", []hop.Ask{ask(time.Second, time.Second), ask(2*time.Second, time.Second)}, []bool{true, true}},
-		{"late, behind those in time", []hop.Ask{ask(-time.Second, 150*time.Millisecond), ask(time.Second, time.Second), ask(time.Second, time.Second), ask(time.Second, time.Second), ask(time.Second, time.Second)}, []bool{false, true, true, true, true}},
-		{"equal ones by arrival", []hop.Ask{ask(time.Second, 100*time.Millisecond), ask(time.Second, 100*time.Millisecond), ask(time.Second, 100*time.Millisecond)}, []bool{true, true, false}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			var q queue
-			var pushed []*waiter
-			for _, a := range test.waiting {
-				pushed = append(pushed, q.push(a))
-			}
-			q.dropHopeless(o, 2)
-			for i, w := range pushed {
-				is.Equal(slices.Contains(q.waiters, w), test.kept[i])
-				if !test.kept[i] {
-					p := <-w.decided
-					is.Equal(p.Code, outcome.CodeFull)
-					is.True(p.RetryAt.After(now))
-				}
-			}
-		})
-	}
-}
-
-// The mean of a kind follows what its requests take; kinds beyond the bound count
-// as the mean of all.
-func TestDurations(t *testing.T) {
-	is := is.New(t)
-	d := newDurations()
-	for range 100 {
-		d.took(1, 30*time.Millisecond)
-		d.took(2, 150*time.Millisecond)
-	}
-	is.Equal(d.of(1).Round(time.Millisecond), 30*time.Millisecond)
-	is.Equal(d.of(2).Round(time.Millisecond), 150*time.Millisecond)
-	is.True(d.isShort(1) && !d.isShort(2) && !d.isShort(3))
-	for kind := range uint32(2 * maxKinds) {
-		d.took(kind, time.Millisecond)
-	}
-	is.Equal(len(d.byKind), maxKinds)
-	is.Equal(d.of(2*maxKinds-1), d.all)
-}
-
 // A waiter whose time is over or whose caller leaves gives its place up, and no
 // slot is lost to it.
 func TestWaitersLeave(t *testing.T) {
@@ -506,122 +370,6 @@
 	is.Equal(g.Running(), 0)
 }
 
-// In no window do the gates of a service together send more repeats than the
-// fleet's bound allows, however repeats and first sends fall to them.
-// heldByRequests bounds the paid repeats on their way from gate to gate: each is
-// held by a request for a few milliseconds.
-const heldByRequests = 5
-
-func TestBudgetsSumToTheBound(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		const ratio, slack, window = 0.2, 60.0, 10 * time.Second
-		gates := rapid.IntRange(1, 40).Draw(t, "gates")
-		budgets := make([]budget, gates)
-		for i := range budgets {
-			budgets[i].bound = newRetryBound(ratio, slack, window, gates)
-			budgets[i].tokens = budgets[i].bound.most
-		}
-		type send struct {
-			at     time.Time
-			repeat bool
-		}
-		var sends []send
-		// Repeats that gates have paid for travel to other gates, which take none
-		// of their own part for them.
-		paid := 0
-		now := time.Unix(1000, 0)
-		for range rapid.IntRange(0, 3000).Draw(t, "sends") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Millisecond)
-			b := &budgets[rapid.IntRange(0, gates-1).Draw(t, "gate")]
-			kind := rapid.IntRange(0, 9).Draw(t, "kind")
-			if kind == 9 && paid > 0 {
-				paid--
-				sends = append(sends, send{now, true})
-				continue
-			}
-			if kind == 8 && b.canSpend(now, 0) && paid < heldByRequests {
-				b.spend()
-				paid++
-				continue
-			}
-			if kind > 0 {
-				if b.canSpend(now, rapid.IntRange(0, 3).Draw(t, "priority")) {
-					b.spend()
-					sends = append(sends, send{now, true})
-				}
-				continue
-			}
-			b.earn(now)
-			sends = append(sends, send{now, false})
-		}
-		first, repeats, from := 0.0, 0.0, 0
-		for _, s := range sends {
-			if s.repeat {
-				repeats++
-			} else {
-				first++
-			}
-			for ; s.at.Sub(sends[from].at) >= window; from++ {
-				if sends[from].repeat {
-					repeats--
-				} else {
-					first--
-				}
-			}
-			// Each gate holds at least one repeat.
-			if bound := ratio*first + max(slack, float64(gates)); repeats > bound {
-				t.Fatalf("%v repeats of %v requests over %d gates", repeats, first, gates)
-			}
-		}
-	})
-}
-
-// A service with few requests can still try sick targets out: its budget grows
-// with time.
-func TestBudgetGrowsWithTime(t *testing.T) {
-	is := is.New(t)
-	b := budget{bound: newRetryBound(0.2, 60, 10*time.Second, 12)}
-	now := time.Unix(0, 0)
-	is.True(!b.canSpend(now, 0))
-	is.True(b.canSpend(now.Add(10*time.Second), 0))
-}
-
-// A gate pays for the repeats of what its target fails, as long as its part
-// lasts, and takes a repeat that was paid for when its own part is used up.
-func TestPaidRepeats(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		g := openGate(t)
-		g.budget.tokens = 1
-		a := askFor(0)
-		is.True(g.payRepeat(a))
-		is.True(!g.payRepeat(a))
-		a.Repeat = true
-		_, p := g.admit(t.Context(), a)
-		is.Equal(p.Code, outcome.CodeRetryBudget)
-		a.Paid = true
-		_, p = g.admit(t.Context(), a)
-		is.True(p == nil)
-		is.True(g.budget.tokens >= 0)
-	})
-}
-
-// Only what an entry will send again is paid for.
-func TestWhichResultsCallForARepeat(t *testing.T) {
-	tests := []struct {
-		learned result
-		mayFail bool
-		want    bool
-	}{
-		{resultProved, true, false}, {resultNone, true, false}, {resultShed, false, true},
-		{resultErred, true, true}, {resultErred, false, false}, {resultLost, true, true}, {resultLost, false, false},
-	}
-	for _, test := range tests {
-		is := is.New(t)
-		is.Equal(test.learned.callsForRepeat(hop.Ask{MayFail: test.mayFail}), test.want)
-	}
-}
-
 // A target that sheds does not seem idle because it refuses quickly, and is
 // trusted as before.
 func TestSheddingTargetSeemsFull(t *testing.T) {
