gate, entry: what a second reading found

- Requests that waited for a slot were all refused as draining when they could not be served any more, also for want of a repeat; logs and entries got a wrong reason.
Each is refused for its own reason now; the test failed with draining for retry_budget.
- A waiter's decision carries its grant, which was put together in two places; the two refusals that stood twice have one function each.
- A gate that was lost, heard and lost again within a wait was waited for by two goroutines; the candidate knows that it is waited for.
- The wait for the first configuration makes a timer only if there is none yet.

--- a/process/entry/absence.go
+++ b/process/entry/absence.go
@@ -32,11 +32,13 @@
 			return
 		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(wait))):
 		}
-		if !c.isDown() {
+		if c.endsWait() {
 			break
 		}
 		if state, err := e.question(c); err == nil {
 			c.heard(state, time.Now())
+		}
+		if c.endsWait() {
 			break
 		}
 	}
--- a/process/entry/absence_test.go
+++ b/process/entry/absence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/connection/hop"
 	"github.com/cuminwheel/cuminwheel/connection/message"
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/roster"
@@ -45,7 +46,7 @@
 	_, closeListener, err := message.Listen(address, g.Serve, func() message.Limits { return limits }, hclog.NewNullLogger())
 	is.NoErr(err)
 	defer closeListener()
-	for until := time.Now().Add(10 * time.Second); absent.isDown() && time.Now().Before(until); {
+	for until := time.Now().Add(10 * time.Second); absent.view(time.Now()).down && time.Now().Before(until); {
 		time.Sleep(5 * time.Millisecond)
 	}
 	v := absent.view(time.Now())
@@ -53,14 +54,23 @@
 	is.True(v.closed) // its target has not announced itself
 }
 
-// Only the first failure in a row is news, and closing a candidate ends its
-// questions.
-func TestFailedIsNewsOnce(t *testing.T) {
+// A gate that is lost, heard once and lost again is still waited for by one
+// goroutine only, and closing a candidate ends that.
+func TestOneWaitForAnAbsentGate(t *testing.T) {
 	is := is.New(t)
 	d := newDirectory(fixedNodes{}, "here", "r")
 	c := d.newCandidate(roster.Record{Gate: "127.0.0.1:1", Service: "s"})
-	is.True(c.failed())
-	is.True(!c.failed())
+	isNews, starts := c.failed()
+	is.True(isNews && starts)
+	isNews, starts = c.failed()
+	is.True(!isNews && !starts)
+	c.heard(hop.State{}, time.Now())
+	isNews, starts = c.failed()
+	is.True(isNews && !starts) // the first wait has not ended
+	c.heard(hop.State{}, time.Now())
+	is.True(c.endsWait())
+	isNews, starts = c.failed()
+	is.True(isNews && starts)
 	e := &Entry{options: Options{Logger: hclog.NewNullLogger(), Headers: plainHeaders{}}, directory: d}
 	ended := make(chan struct{})
 	go func() {
@@ -69,5 +79,5 @@
 	}()
 	c.close()
 	<-ended
-	is.True(c.isDown())
+	is.True(c.view(time.Now()).down)
 }
--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -46,8 +46,10 @@
 	state   hop.State
 	heardAt time.Time
 	asking  int
-	// down means that the gate could not be reached and has not been heard since.
-	down bool
+	// down means that the gate could not be reached and has not been heard since,
+	// awaited that its return is being waited for.
+	down    bool
+	awaited bool
 }
 
 // view is what is believed of a candidate at one moment.
@@ -112,18 +114,21 @@
 	c.down = false
 }
 
-// failed records that the gate could not be reached and reports whether that is
-// news.
-func (c *candidate) failed() (isNews bool) {
+// failed records that the gate could not be reached. isNews reports whether it
+// could before, startsWait whether nobody waits for its return yet; the caller
+// does from then on, until endsWait.
+func (c *candidate) failed() (isNews, startsWait bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isNews = !c.down
-	c.down = true
-	return isNews
+	isNews, startsWait = !c.down, !c.awaited
+	c.down, c.awaited = true, true
+	return isNews, startsWait
 }
 
-func (c *candidate) isDown() bool {
+// endsWait ends the wait for the gate's return if it has been heard.
+func (c *candidate) endsWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.down
+	c.awaited = c.down
+	return !c.awaited
 }
--- a/process/entry/choose.go
+++ b/process/entry/choose.go
@@ -115,12 +115,12 @@
 	return cost + v.risk(), !v.suspect || p.hopeful
 }
 
-// choose returns the index of the view to ask next, or -1. jitter, from 0 to 1,
-// breaks ties.
-func (p pass) choose(views []view, asked func(int) bool, r request, jitter func() float64) int {
+// choose returns the index of the view to ask next, or -1. isOut tells those that
+// are not to be asked; jitter, from 0 to 1, breaks ties.
+func (p pass) choose(views []view, isOut func(int) bool, r request, jitter func() float64) int {
 	best, least := -1, math.Inf(1)
 	for i, v := range views {
-		if asked(i) {
+		if isOut(i) {
 			continue
 		}
 		cost, ok := p.cost(v, r)
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -213,8 +213,11 @@
 
 // unreachable records that nothing reached the gate.
 func (e *Entry) unreachable(to *candidate, err error) *outcome.Problem {
-	if to.failed() {
+	isNews, startsWait := to.failed()
+	if isNews {
 		e.options.Logger.Warn("gate lost", "gate", to.address, "tier", to.tier, "reason", err)
+	}
+	if startsWait {
 		go e.awaitReturn(to)
 	}
 	return outcome.Refused(outcome.CodeUnreachable, "the gate cannot be reached")
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -87,28 +87,26 @@
 const relayTime = 150 * time.Millisecond
 
 // startTime is how long after its start an entry lets requests wait for the first
-// configuration and for the first nodes of their service: dialling the store of another region and reading it
-// takes 120 ms, on a VM that starts at the same time as all others.
+// configuration and for the first nodes of their service: dialling the store of
+// another region and reading it takes 120 ms, on a VM that starts at the same time
+// as all others.
 const startTime = 600 * time.Millisecond
 
 // configuration returns the one in force. Just after a start, which mostly comes
 // with requests that waited for the node, it waits for the first one.
 func (e *Entry) configuration(ctx context.Context) configuration.Configuration {
+	changed := e.options.Configurations.Changed()
+	if c := e.options.Configurations.Configuration(); c.Version > 0 {
+		return c
+	}
 	timer := time.NewTimer(time.Until(e.started.Add(startTime)))
 	defer timer.Stop()
-	for {
-		changed := e.options.Configurations.Changed()
-		if c := e.options.Configurations.Configuration(); c.Version > 0 {
-			return c
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return e.options.Configurations.Configuration()
-		case <-ctx.Done():
-			return e.options.Configurations.Configuration()
-		}
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return e.options.Configurations.Configuration()
 }
 
 // notReadyRetry is when callers may come back to a node that knows no
@@ -125,15 +123,13 @@
 		a, asked, problem = e.dispatch(ctx, c)
 	}
 	now := time.Now()
-	status := 0
 	if problem != nil {
 		code = problem.Code
 		a = problem.Answer(c.id, now)
 	}
-	status = a.Status
 	e.options.Meter.EntryEnded(c.route.Name, code, now.Sub(in.Arrived))
 	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service,
-		"configuration", c.version, "status", status, "code", code, "asked", asked,
+		"configuration", c.version, "status", a.Status, "code", code, "asked", asked,
 		"took_ms", now.Sub(in.Arrived).Milliseconds(), "left_ms", c.deadline.Sub(now).Milliseconds())
 	return a
 }
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -30,6 +30,12 @@
 	return nil
 }
 
+// suspected is the refusal of a request that the target may not be given; mu is
+// held.
+func (g *Gate) suspected() *outcome.Problem {
+	return outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(g.target.trust.TrialAt())
+}
+
 // leavingShare is how much of the time that a leaving node has left a request may
 // take on average, so that nearly none is at work when the node ends.
 const leavingShare = 0.5
@@ -63,9 +69,9 @@
 	trial := false
 	switch g.target.trust.Admit(now, a.Idempotent && a.MayFail) {
 	case judgement.Withheld:
-		retryAt := g.target.trust.TrialAt()
+		p := g.suspected()
 		g.mu.Unlock()
-		return grant{}, outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(retryAt)
+		return grant{}, p
 	case judgement.Tried:
 		trial = true
 	}
@@ -81,7 +87,7 @@
 	wait := expectedWait(work, g.target.durations.all, g.target.announced.Slots)
 	if now.Add(wait).After(a.WaitUntil) {
 		g.mu.Unlock()
-		return grant{}, outcome.Refused(outcome.CodeFull, "the wait for a slot is about %d ms", wait.Milliseconds()).WithRetryAt(now.Add(wait))
+		return grant{}, fullFor(wait, now)
 	}
 	w := g.queue.push(a)
 	g.mu.Unlock()
@@ -94,8 +100,8 @@
 	defer timer.Stop()
 	var p *outcome.Problem
 	select {
-	case p = <-w.decided:
-		return g.granted(w.ask, p)
+	case d := <-w.decided:
+		return d.grant, d.problem
 	case <-timer.C:
 		p = outcome.Refused(outcome.CodeFull, "no slot became free in time").WithRetryAt(time.Now().Add(g.meanServiceTime()))
 	case <-ctx.Done():
@@ -107,16 +113,8 @@
 	if removed {
 		return grant{}, p
 	}
-	return g.granted(w.ask, <-w.decided)
-}
-
-func (g *Gate) granted(a hop.Ask, p *outcome.Problem) (grant, *outcome.Problem) {
-	if p != nil {
-		return grant{}, p
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return grant{began: time.Now(), instance: g.target.announced.Instance, kind: a.Kind}, nil
+	d := <-w.decided
+	return d.grant, d.problem
 }
 
 func (g *Gate) meanServiceTime() time.Duration {
@@ -158,19 +156,16 @@
 // slots to the others; mu is held.
 func (g *Gate) settle() {
 	now := time.Now()
-	g.queue.drain(func(a hop.Ask) bool { return g.refusal(a, now) == nil },
-		outcome.Refused(outcome.CodeDraining, "the target is leaving"))
+	g.queue.drain(func(a hop.Ask) *outcome.Problem { return g.refusal(a, now) })
 	if g.target.trust.IsSuspect(now) {
-		g.queue.drain(func(hop.Ask) bool { return false },
-			outcome.Refused(outcome.CodeSuspect, "the target failed lately").WithRetryAt(g.target.trust.TrialAt()))
+		g.queue.drain(func(hop.Ask) *outcome.Problem { return g.suspected() })
 	}
 	for g.target.running < g.target.announced.Slots {
 		w := g.queue.pop(g.order(now), func(a hop.Ask) bool { return g.refusal(a, now) == nil })
 		if w == nil {
 			return
 		}
-		g.take(w.ask, now, false)
-		w.decided <- nil
+		w.decided <- decision{grant: g.take(w.ask, now, false)}
 	}
 	g.queue.dropHopeless(g.order(now), g.target.announced.Slots)
 }
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -269,6 +269,42 @@
 	})
 }
 
+// A waiter that cannot be served any more is told why: a gate that has no repeat
+// left is not one that is leaving.
+func TestWaitersAreRefusedForTheirReason(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*Gate)
+		want    outcome.Code
+	}{
+		{"no retry left", func(g *Gate) { g.budget.tokens = 0 }, outcome.CodeRetryBudget},
+		{"the node leaves", func(g *Gate) { g.closing = true }, outcome.CodeDraining},
+		{"the target is suspected", func(g *Gate) { g.target.trust.Lost(time.Now()) }, outcome.CodeSuspect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := openGate(t)
+				held := occupy(t, g)
+				refused := make(chan *outcome.Problem, 1)
+				go func() {
+					a := askFor(5 * time.Second)
+					a.Repeat = true
+					_, p := g.admit(t.Context(), a)
+					refused <- p
+				}()
+				synctest.Wait()
+				g.mu.Lock()
+				test.prepare(g)
+				g.mu.Unlock()
+				g.end(held[0], resultNone)
+				is.Equal((<-refused).Code, test.want)
+			})
+		})
+	}
+}
+
 // Waiting requests are served by priority, then in the order of their arrival;
 // requests that a running request of a caller waits for come first that way.
 func TestQueueOrder(t *testing.T) {
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -10,8 +10,14 @@
 // waiter is a request that waits for a slot.
 type waiter struct {
 	ask hop.Ask
-	// decided gets the slot's problem, or nil for a slot, exactly once.
-	decided chan *outcome.Problem
+	// decided gets the decision, exactly once.
+	decided chan decision
+}
+
+// decision is what a waiter gets: a grant, or the problem for which it gets none.
+type decision struct {
+	grant   grant
+	problem *outcome.Problem
 }
 
 // queue holds the requests that wait for a slot, in the order of their arrival.
@@ -20,7 +26,7 @@
 }
 
 func (q *queue) push(a hop.Ask) *waiter {
-	w := &waiter{ask: a, decided: make(chan *outcome.Problem, 1)}
+	w := &waiter{ask: a, decided: make(chan decision, 1)}
 	q.waiters = append(q.waiters, w)
 	return w
 }
@@ -108,20 +114,26 @@
 			kept = append(kept, w)
 			continue
 		}
-		w.decided <- outcome.Refused(outcome.CodeFull, "the wait for a slot has grown to about %d ms", wait.Milliseconds()).WithRetryAt(o.now.Add(wait))
+		w.decided <- decision{problem: fullFor(wait, o.now)}
 	}
 	q.waiters = kept
 }
 
-// drain refuses every waiter that keep does not allow.
-func (q *queue) drain(keep func(hop.Ask) bool, p *outcome.Problem) {
+// fullFor is the refusal of a request that would wait so long for a slot.
+func fullFor(wait time.Duration, now time.Time) *outcome.Problem {
+	return outcome.Refused(outcome.CodeFull, "the wait for a slot is about %d ms", wait.Milliseconds()).WithRetryAt(now.Add(wait))
+}
+
+// drain refuses every waiter for which refusal returns a problem.
+func (q *queue) drain(refusal func(hop.Ask) *outcome.Problem) {
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
-		if keep(w.ask) {
+		p := refusal(w.ask)
+		if p == nil {
 			kept = append(kept, w)
 			continue
 		}
-		w.decided <- p
+		w.decided <- decision{problem: p}
 	}
 	q.waiters = kept
 }
--- a/process/gate/queue_test.go
+++ b/process/gate/queue_test.go
@@ -116,7 +116,7 @@
 			for i, w := range pushed {
 				is.Equal(slices.Contains(q.waiters, w), test.kept[i])
 				if !test.kept[i] {
-					p := <-w.decided
+					p := (<-w.decided).problem
 					is.Equal(p.Code, outcome.CodeFull)
 					is.True(p.RetryAt.After(now))
 				}
