--- /dev/null
+++ b/connection/message/header_test.go
@@ -0,0 +1,17 @@
+package message
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEndToEnd(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{
+		"Connection": {"keep-alive, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Te": {"trailers"},
+		"Transfer-Encoding": {"chunked"}, "X-Kept": {"a", "b"}, "Upgrade": {"h2c"},
+	}
+	is.Equal(EndToEnd(h), http.Header{"X-Kept": {"a", "b"}})
+}
