gate, entry, http1: report a stalled request and hedge it at once

Cause: a gate learned nothing from a silent target. The entry hedged only after half of the deadline, which is too late for a call of 800 ms.

Change: the gate measures mean and deviation of each route's durations. A request that exceeds four deviations counts as lost, or as a weaker sign if one that started later has succeeded. The gate reports the stall to its entry in an interim response (102) that carries its state and the charged retry, and the entry hedges at once. A claim avoids a target on which an older request has outlasted its mean by one deviation and nothing has succeeded since.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -126,6 +126,9 @@
 			return nil, false, errors.Wrap(ErrNoResponse, causeOr(ctx, err).Error())
 		}
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
+			if hr.StatusCode == http.StatusProcessing && r.OnInterim != nil {
+				r.OnInterim(hr.Header)
+			}
 			continue
 		}
 		var b bytes.Buffer
--- a/connection/http1/listener.go
+++ b/connection/http1/listener.go
@@ -21,6 +21,8 @@
 	// bufferSize is the size of a connection's read and write buffers. Most
 	// headers fit in it.
 	bufferSize = 4096
+	// interimBufferSize is the size of the write buffer of an interim response.
+	interimBufferSize = 512
 	// writeTimeout is how long writing a response may take before the connection
 	// is closed.
 	writeTimeout = 10 * time.Second
@@ -62,6 +64,7 @@
 	ReceivedAt   time.Time
 	body         chan bodyResult
 	sendContinue func() error
+	sendInterim  func(http.Header) error
 }
 
 type bodyResult struct {
@@ -85,6 +88,11 @@
 	}
 }
 
+// SendInterim sends an interim response (102 Processing) with the given header. It
+// does nothing if the final response has begun or if an earlier request of the
+// connection has no response yet.
+func (in *IncomingRequest) SendInterim(h http.Header) error { return in.sendInterim(h) }
+
 // Handler returns the response to a request. ctx is cancelled when the caller's
 // connection ends.
 type Handler func(ctx context.Context, in *IncomingRequest) *Response
--- a/connection/http1/listener_test.go
+++ b/connection/http1/listener_test.go
@@ -66,6 +66,56 @@
 	return out
 }
 
+// An interim response must reach the sender before the final one. One that is sent
+// late must not come between the final response and the next request.
+func TestInterimResponse(t *testing.T) {
+	is := is.New(t)
+	var late *IncomingRequest
+	l := listen(t, func(_ context.Context, in *IncomingRequest) *Response {
+		if late != nil {
+			is.NoErr(late.SendInterim(http.Header{"Step": {"late"}}))
+		}
+		late = in
+		is.NoErr(in.SendInterim(http.Header{"Step": {in.Path}}))
+		return &Response{Status: 200, Header: http.Header{}, Body: []byte(in.Path)}
+	})
+	pool, closePool := NewPool(l.Address(), time.Second)
+	defer closePool()
+	for _, path := range []string{"/a", "/b"} {
+		conn, err := pool.Get(t.Context(), time.Minute)
+		is.NoErr(err)
+		var steps []string
+		res, err := conn.Do(t.Context(), Request{
+			Method: "GET", URI: path, Host: "h", Header: http.Header{},
+			OnInterim: func(h http.Header) { steps = append(steps, h.Get("Step")) },
+		}, idOf, nil)
+		is.NoErr(err)
+		is.Equal(steps, []string{path})
+		is.Equal(string(res.Body), path)
+		pool.Put(conn)
+	}
+}
+
+// An interim response must not overtake the final response to an earlier request of
+// the connection.
+func TestInterimResponseKeepsOrder(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	l := listen(t, func(_ context.Context, in *IncomingRequest) *Response {
+		if in.Path == "/first" {
+			<-release
+		} else {
+			is.NoErr(in.SendInterim(http.Header{}))
+			close(release)
+		}
+		return &Response{Status: 200, Header: http.Header{}, Body: []byte(in.Path)}
+	})
+	conn, r := dial(t, l.Address())
+	_, err := io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(readBodies(t, r, 2), []string{"/first", "/second"})
+}
+
 // echoPath responds with the request path. A request for /wait blocks until release
 // is closed.
 func echoPath(release <-chan struct{}) Handler {
--- a/connection/http1/request.go
+++ b/connection/http1/request.go
@@ -20,6 +20,9 @@
 	// peer sends a 100 response. A request without a body is sent with an empty
 	// chunked one, so that the peer can always wait for the end of the body.
 	ExpectContinue bool
+	// OnInterim, if not nil, is called with the header of each 102 response that
+	// arrives before the final one.
+	OnInterim func(http.Header)
 }
 
 // writeRequestHeader writes the request line and the header, and flushes w.
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -82,6 +82,8 @@
 	method     string
 	closeAfter bool
 	response   chan *Response
+	// hasBegun means that writing the response has begun; writeMu guards it.
+	hasBegun bool
 }
 
 // serve handles the connection until it ends and cancels the requests in progress
@@ -169,6 +171,7 @@
 	in := &IncomingRequest{
 		Method: hr.Method, URI: hr.RequestURI, Host: hr.Host, Path: hr.URL.EscapedPath(),
 		Header: hr.Header, ReceivedAt: time.Now(), body: make(chan bodyResult, 1),
+		sendInterim: func(h http.Header) error { return c.sendInterim(p, h) },
 	}
 	expectsContinue := hr.Header.Get("Expect") != "" && hr.Body != http.NoBody
 	if expectsContinue {
@@ -247,6 +250,22 @@
 	return err
 }
 
+// sendInterim sends a 102 response to p, unless its final response has begun or an
+// earlier request of the connection has no response yet.
+func (c *serverConn) sendInterim(p *pendingRequest, h http.Header) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if p.hasBegun || c.inFlightCount() > 1 {
+		return nil
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	bw := bufio.NewWriterSize(c.conn, interimBufferSize)
+	writeStatusLine(bw, http.StatusProcessing)
+	writeHeader(bw, h)
+	bw.WriteString("\r\n")
+	return bw.Flush()
+}
+
 // respondToReadError sends an error response for a request header that could not
 // be read. It sends none if the connection ended or failed.
 func (c *serverConn) respondToReadError(err error) {
@@ -315,10 +334,11 @@
 	time.AfterFunc(lingerTimeout, func() { c.conn.Close() })
 }
 
-// writeResponse writes res, but never in the middle of a 100 response.
+// writeResponse writes res, but never in the middle of an interim response.
 func (c *serverConn) writeResponse(bw *bufio.Writer, res *Response, p *pendingRequest, closeConn bool) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	p.hasBegun = true
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return res.write(bw, p.method, closeConn)
 }
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -149,7 +151,10 @@
 	}
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
 	to.startRequest()
-	resp, retryCharged, problem := e.sendToGate(ctx, c, to, outgoing, func() { s.results <- result{hedgeDue: true} })
+	var hedge sync.Once
+	resp, retryCharged, problem := e.sendToGate(ctx, c, to, outgoing, func(retryCharged bool) {
+		hedge.Do(func() { s.results <- result{hedgeDue: true, retryCharged: retryCharged} })
+	})
 	to.finishRequest()
 	code := outcome.Code("answered")
 	if problem != nil {
@@ -164,10 +169,11 @@
 }
 
 // sendToGate offers the request to a gate, sends its body once the gate has
-// granted it a slot, and reads the response. It calls onHedgeDue if the target
-// takes so long that a retriable request should be hedged. retryCharged means
-// that the gate has charged a retry to its budget.
-func (e *Entry) sendToGate(ctx context.Context, c *call, to *candidate, outgoing hopheader.Request, onHedgeDue func()) (resp *http1.Response, retryCharged bool, p *outcome.Problem) {
+// granted it a slot, and reads the response. It calls onHedgeDue if the gate
+// reports that the target has stalled, or if the target takes so long that a
+// retriable request should be hedged. retryCharged means that the gate has charged
+// a retry to its budget.
+func (e *Entry) sendToGate(ctx context.Context, c *call, to *candidate, outgoing hopheader.Request, onHedgeDue func(retryCharged bool)) (resp *http1.Response, retryCharged bool, p *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, err := to.pool.Get(ctx, maxConnectionIdle)
@@ -182,7 +188,7 @@
 	startHedgeTimer := func() {
 		silenceTimer.Stop()
 		if outgoing.CanRetry {
-			hedgeTimer = time.AfterFunc(time.Duration(hedgeDelayShare*float64(time.Until(c.deadline))), onHedgeDue)
+			hedgeTimer = time.AfterFunc(time.Duration(hedgeDelayShare*float64(time.Until(c.deadline))), func() { onHedgeDue(false) })
 		}
 	}
 	awaitsGrant := needsGrant(c.route.Idempotent, to.tier)
@@ -194,6 +200,17 @@
 	outgoing.Inject(h, now)
 	resp, err = conn.Do(ctx, http1.Request{
 		Method: c.in.Method, URI: c.in.URI, Host: c.in.Host, Header: h, Body: c.body, ID: c.id, ExpectContinue: awaitsGrant,
+		OnInterim: func(h http.Header) {
+			meta, err := hopheader.ExtractResponse(h, time.Now())
+			if err != nil {
+				e.options.Logger.Warn("interim response of a gate ignored", "request", c.id, "gate", to.address, "reason", err)
+				return
+			}
+			to.updateState(meta.State, time.Now())
+			if outgoing.CanRetry {
+				onHedgeDue(meta.RetryCharged)
+			}
+		},
 	}, e.options.Headers.ResponseRequestID, func() {
 		granted = true
 		startHedgeTimer()
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -69,6 +69,9 @@
 func (s *dispatchState) awaitResult() (done bool) {
 	r := <-s.results
 	if r.hedgeDue {
+		if r.retryCharged {
+			s.chargedRetries++
+		}
 		return false
 	}
 	return !s.recordResult(r)
--- a/process/entry/dispatch_test.go
+++ b/process/entry/dispatch_test.go
@@ -37,6 +37,8 @@
 		{"read fails and is retried", []gateBehaviour{failRequest, respondOK("b")}, "/read/", 200, "b", []int64{1, 1}},
 		{"read fails with its gate and is retried", []gateBehaviour{dropConnection, respondOK("b")}, "/read/", 200, "b", []int64{1, 1}},
 		{"read gets no response and is hedged", []gateBehaviour{neverRespond, respondOK("b")}, "/read/", 200, "b", []int64{1, 1}},
+		{"read stalls and its retry is charged", []gateBehaviour{stallAndCharge, respondToFirstOrCharged}, "/read/", 200, "paid", []int64{1, 1}},
+		{"claim stalls", []gateBehaviour{stallAndCharge, respondOK("b")}, "/claim/", 504, "", []int64{1, 0}},
 		{"read stops after two failures", []gateBehaviour{failRequest, failRequest, failRequest}, "/read/", 502, "", nil},
 		{"read fails, then is refused", []gateBehaviour{failRequest, refuseWith(outcome.CodeRetryBudget)}, "/read/", 502, "", []int64{1, 0}},
 		{"read fails and its retry is not charged", []gateBehaviour{failRequest, respondToFirstOrCharged}, "/read/", 502, "", []int64{1, 0}},
@@ -72,6 +74,17 @@
 	}
 }
 
+// A stalled read must be sent to another target as soon as its gate reports the
+// stall. The hedge delay alone is half of the deadline, too late for its target
+// latency.
+func TestStalledReadIsHedgedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newGateFleet(t, stallAndCharge, respondToFirstOrCharged)
+	startedAt := time.Now()
+	is.Equal(f.call(t, "/read/").Status, http.StatusOK)
+	is.True(time.Since(startedAt) < 400*time.Millisecond) // the hedge delay is 600 ms
+}
+
 // A target's 5xx response is kept while another target works on the request. It
 // must be returned if the node shuts down in the meantime.
 func TestErrorResponseIsReturnedAtShutdown(t *testing.T) {
--- a/process/entry/fakes_test.go
+++ b/process/entry/fakes_test.go
@@ -111,6 +111,21 @@
 	return &http1.Response{Abort: true}
 }
 
+// stallAndCharge reads the body, reports a stall, whose retry it charges to its
+// budget, and does not respond.
+func stallAndCharge(ctx context.Context, in *http1.IncomingRequest, onBody func()) *http1.Response {
+	if _, err := in.ReadBody(ctx); err == nil {
+		onBody()
+	}
+	h := http.Header{}
+	hopheader.Response{State: hopheader.GateState{Accepting: true, Suspected: true, Slots: 3}, RetryCharged: true}.Inject(h, time.Now())
+	if err := in.SendInterim(h); err != nil {
+		return &http1.Response{Abort: true}
+	}
+	<-ctx.Done()
+	return &http1.Response{Abort: true}
+}
+
 var limits = http1.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
 
 // gateFleet is an entry with fake gates.
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -59,6 +59,7 @@
 	instance  string
 	routeHash uint32
 	isTrial   bool
+	run       *run
 }
 
 // admit returns a grant for the request or the problem for which it is refused.
@@ -80,6 +81,10 @@
 	case health.AdmittedAsTrial:
 		isTrial = true
 	}
+	if !req.Idempotent && !now.Before(req.QueueDeadline) && g.target.isDoubtful(now) {
+		g.mu.Unlock()
+		return grant{}, outcome.Refused(outcome.CodeTargetSuspected, "an earlier request has run for unusually long")
+	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
 	if g.target.inFlight < g.target.announced.Slots && isNext {
 		gr := g.takeSlot(req, now, isTrial)
@@ -147,7 +152,9 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial}
+	r := &run{startedAt: now, routeHash: req.RouteHash}
+	g.target.runs[r] = struct{}{}
+	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial, run: r}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/durations.go
+++ b/process/gate/durations.go
@@ -15,27 +15,53 @@
 	maxRoutes = 64
 )
 
+// Limits of the time that a request runs, in mean absolute deviations above the mean
+// of its route. About one in fifty requests of a healthy target exceeds
+// stallDeviations.
+const (
+	stallDeviations = 4
+	doubtDeviations = 1
+	// shortHistoryDeviations, divided by the number of measured requests, is added
+	// while the history of a route is short.
+	shortHistoryDeviations = 8
+	// minDeviationShare is the least deviation, as a share of the mean.
+	minDeviationShare = 0.25
+)
+
 // durations holds exponentially weighted moving averages of the time that
 // requests hold a slot of the target, over all requests and by route hash.
 type durations struct {
 	all     time.Duration
-	byRoute map[uint32]time.Duration
+	byRoute map[uint32]routeDurations
+}
+
+// routeDurations holds the mean and the mean absolute deviation of the durations of
+// one route's requests.
+type routeDurations struct {
+	mean      time.Duration
+	deviation time.Duration
+	count     int
 }
 
 func newDurations() durations {
-	return durations{all: initialDuration, byRoute: map[uint32]time.Duration{}}
+	return durations{all: initialDuration, byRoute: map[uint32]routeDurations{}}
 }
 
 // record adds the time that a request held its slot.
 func (d *durations) record(routeHash uint32, t time.Duration) {
 	d.all = updateEWMA(d.all, t)
-	mean, isKnown := d.byRoute[routeHash]
+	r, isKnown := d.byRoute[routeHash]
 	switch {
 	case isKnown:
-		d.byRoute[routeHash] = updateEWMA(mean, t)
+		r.deviation = updateEWMA(r.deviation, max(t-r.mean, r.mean-t))
+		r.mean = updateEWMA(r.mean, t)
 	case len(d.byRoute) < maxRoutes:
-		d.byRoute[routeHash] = t
+		r = routeDurations{mean: t, deviation: t / 2}
+	default:
+		return
 	}
+	r.count++
+	d.byRoute[routeHash] = r
 }
 
 func updateEWMA(mean, t time.Duration) time.Duration {
@@ -45,12 +71,39 @@
 // estimate returns the expected duration of a request of the route. Routes without
 // an average of their own use that of all requests.
 func (d *durations) estimate(routeHash uint32) time.Duration {
-	if t, isKnown := d.byRoute[routeHash]; isKnown {
-		return t
+	if r, isKnown := d.byRoute[routeHash]; isKnown {
+		return r.mean
 	}
 	return d.all
 }
 
+// stallLimit returns the duration from which a request of the route counts as
+// stalled: targetLatency for a route without measured requests.
+func (d *durations) stallLimit(routeHash uint32, targetLatency time.Duration) time.Duration {
+	r, isKnown := d.byRoute[routeHash]
+	if !isKnown {
+		return targetLatency
+	}
+	return r.limit(stallDeviations)
+}
+
+// doubtLimit returns the duration from which a request of the route casts doubt on
+// the target.
+func (d *durations) doubtLimit(routeHash uint32) time.Duration {
+	r, isKnown := d.byRoute[routeHash]
+	if !isKnown {
+		return d.all
+	}
+	return r.limit(doubtDeviations)
+}
+
+// limit returns the mean plus the given number of deviations.
+func (r routeDurations) limit(deviations float64) time.Duration {
+	deviations += shortHistoryDeviations / float64(r.count)
+	deviation := max(float64(r.deviation), minDeviationShare*float64(r.mean))
+	return r.mean + time.Duration(deviations*deviation)
+}
+
 // isShort reports whether requests of the route are short enough to be served
 // first at little cost to others.
 func (d *durations) isShort(routeHash uint32) bool {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -217,7 +217,11 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.target.inFlight--
-	if gr.isTrial {
+	delete(g.target.runs, gr.run)
+	if gr.run.stallTimer != nil {
+		gr.run.stallTimer.Stop()
+	}
+	if gr.isTrial && !gr.run.isStalled {
 		g.target.breaker.EndTrial()
 	}
 	if gr.instance == g.target.announced.Instance {
@@ -238,12 +242,19 @@
 	case resultSuccess:
 		g.target.breaker.RecordSuccess(now)
 		g.target.durations.record(gr.routeHash, now.Sub(gr.startedAt))
+		if gr.startedAt.After(g.target.lastSuccessStart) {
+			g.target.lastSuccessStart = gr.startedAt
+		}
 	case resultShed:
 		g.target.shedAt = now
 	case resultError:
-		g.target.breaker.RecordError(now)
+		if !gr.run.isStalled {
+			g.target.breaker.RecordError(now)
+		}
 	case resultLost:
-		g.target.breaker.RecordLost(now)
+		if !gr.run.isStalled {
+			g.target.breaker.RecordLost(now)
+		}
 	}
 	if isSuspected := g.target.breaker.IsSuspected(now); isSuspected != wasSuspected {
 		g.options.Logger.Info("circuit breaker state changed", "instance", gr.instance, "suspect", isSuspected,
--- a/process/gate/queue_test.go
+++ b/process/gate/queue_test.go
@@ -17,7 +17,7 @@
 func TestQueueOrderUnderOverload(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const short, long = 1, 2
-	o := queueOrder{now: now, durations: &durations{all: 100 * time.Millisecond, byRoute: map[uint32]time.Duration{short: 30 * time.Millisecond, long: 150 * time.Millisecond}}}
+	o := queueOrder{now: now, durations: &durations{all: 100 * time.Millisecond, byRoute: map[uint32]routeDurations{short: {mean: 30 * time.Millisecond}, long: {mean: 150 * time.Millisecond}}}}
 	requestsDueIn := func(ms ...int) []hopheader.Request {
 		var out []hopheader.Request
 		for _, m := range ms {
@@ -62,7 +62,7 @@
 func TestWaitEstimateCountsRequestsAhead(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const short, long = 1, 2
-	o := queueOrder{now: now, durations: &durations{all: 120 * time.Millisecond, byRoute: map[uint32]time.Duration{short: 30 * time.Millisecond, long: 150 * time.Millisecond}}}
+	o := queueOrder{now: now, durations: &durations{all: 120 * time.Millisecond, byRoute: map[uint32]routeDurations{short: {mean: 30 * time.Millisecond}, long: {mean: 150 * time.Millisecond}}}}
 	request := func(routeHash uint32, softDeadline time.Duration) hopheader.Request {
 		return hopheader.Request{RouteHash: routeHash, SoftDeadline: now.Add(softDeadline)}
 	}
@@ -95,7 +95,7 @@
 // keep waiting.
 func TestOvertakenWaitersAreRefusedEarly(t *testing.T) {
 	now := time.Unix(1000, 0)
-	o := queueOrder{now: now, durations: &durations{all: 100 * time.Millisecond, byRoute: map[uint32]time.Duration{}}}
+	o := queueOrder{now: now, durations: &durations{all: 100 * time.Millisecond, byRoute: map[uint32]routeDurations{}}}
 	request := func(softDeadline, wait time.Duration) hopheader.Request {
 		return hopheader.Request{SoftDeadline: now.Add(softDeadline), QueueDeadline: now.Add(wait)}
 	}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -23,12 +23,18 @@
 	// shedAt is when the target itself last shed a request.
 	shedAt time.Time
 	// inFlight is the number of slots in use.
-	inFlight  int
-	durations durations
-	breaker   health.CircuitBreaker
+	inFlight int
+	// runs holds the requests that the current incarnation runs.
+	runs map[*run]struct{}
+	// lastSuccessStart is the latest start of the requests that succeeded.
+	lastSuccessStart time.Time
+	durations        durations
+	breaker          health.CircuitBreaker
 }
 
-func newTargetState() targetState { return targetState{durations: newDurations()} }
+func newTargetState() targetState {
+	return targetState{durations: newDurations(), runs: map[*run]struct{}{}}
+}
 
 // isOpen reports whether the target accepts requests.
 func (t *targetState) isOpen() bool { return t.isKnown && !t.hasDeregistered && !t.announced.Draining }
--- a/process/health/circuit_breaker.go
+++ b/process/health/circuit_breaker.go
@@ -31,6 +31,9 @@
 	// to 1 that a lost request and an error response add to the score.
 	lostWeight  = 0.5
 	errorWeight = 0.1
+	// stalledAmongSuccessesWeight is the share for a request that lasts too long
+	// while later ones have succeeded.
+	stalledAmongSuccessesWeight = 0.2
 	// successFactor is the share of the score that remains after a success. An
 	// unhealthy target serves some requests, so after a lost request two
 	// successes in a row are required.
@@ -100,6 +103,12 @@
 // RecordLost records a request without a complete response.
 func (b *CircuitBreaker) RecordLost(now time.Time) { b.recordFailure(now, lostWeight) }
 
+// RecordStalledAmongSuccesses records a request that lasts far longer than usual
+// while one that started later has succeeded.
+func (b *CircuitBreaker) RecordStalledAmongSuccesses(now time.Time) {
+	b.recordFailure(now, stalledAmongSuccessesWeight)
+}
+
 // RecordError records a response that reports an error of the target itself.
 func (b *CircuitBreaker) RecordError(now time.Time) { b.recordFailure(now, errorWeight) }
 
