--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
@@ -71,10 +70,6 @@
 	// startedAt is the start of the startup wait.
 	startedAt time.Time
 
-	// lastFailure is when the latest of the requests that failed arrived, in Unix
-	// nanoseconds.
-	lastFailure atomic.Int64
-
 	mu sync.Mutex
 	// splitPoints holds the last point of each route's sequence, by route name.
 	splitPoints map[string]float64
@@ -146,9 +141,6 @@
 		code = problem.Code
 		resp = problem.ToResponse(c.id, now)
 	}
-	if code != outcome.CodeCallerDisconnected && resp.Status >= http.StatusInternalServerError {
-		e.lastFailure.Store(max(e.lastFailure.Load(), in.ReceivedAt.UnixNano()))
-	}
 	e.options.Meter.RecordEntryRequest(c.route.Name, code, now.Sub(in.ReceivedAt))
 	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service,
 		"configuration", c.configurationVersion, "status", resp.Status, "code", code, "asked", attempts,
@@ -156,11 +148,6 @@
 	return resp
 }
 
-// HasFailedSince reports whether a request that arrived after t has failed. The
-// target beside the node sends its own requests through this entry, so that its
-// error may be the consequence of such a failure.
-func (e *Entry) HasFailedSince(t time.Time) bool { return e.lastFailure.Load() > t.UnixNano() }
-
 // prepareCall reads the request's body and determines its route, service and
 // deadline.
 func (e *Entry) prepareCall(ctx context.Context, in *http1.IncomingRequest) (*call, *outcome.Problem) {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -46,9 +46,6 @@
 	// ShutdownDeadline returns when requests in progress at a leaving node must
 	// have ended, or zero if the node is not leaving.
 	ShutdownDeadline func() time.Time
-	// HasCallFailedSince reports whether a request that the target may have made
-	// itself after the given time has failed.
-	HasCallFailedSince func(time.Time) bool
 }
 
 // Gate admits requests to the target beside a node and forwards them.
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -36,7 +36,6 @@
 	g, _ := New(Options{
 		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
 		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, GateCount: func() int { return 12 }, ShutdownDeadline: func() time.Time { return time.Time{} },
-		HasCallFailedSince: func(time.Time) bool { return false },
 	})
 	return g
 }
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -76,9 +76,6 @@
 	}
 	resp, res, problem := g.forward(ctx, in, req, gr, id, body)
 	finalResult = res
-	if res == resultError && g.options.HasCallFailedSince(gr.startedAt) {
-		finalResult = resultInconclusive
-	}
 	if res.causesRetry(req) && !g.hasStalled(gr) {
 		retryCharged = g.chargeRetry(req)
 	}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -110,17 +110,14 @@
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, pool, n.logger.Named("roster"))
 
-	var e *entry.Entry
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: n.countServiceGates, ShutdownDeadline: n.shutdownDeadline,
-		HasCallFailedSince: func(t time.Time) bool { return e.HasFailedSince(t) },
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
-	var closeEntry func()
-	e, closeEntry = entry.New(entry.Options{
+	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, ShutdownDeadline: n.shutdownDeadline,
 	})
