gate, health: one success clears a single stall, claims do not avoid long requests

Each such stall moved the claims of a proven target to others for two successes, and so did the rule that claims avoid a target with a long request.

Change: a stall weighs 0.35 instead of 0.5, so that one success clears it.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -81,10 +81,6 @@
 	case health.AdmittedAsTrial:
 		isTrial = true
 	}
-	if !req.Idempotent && !now.Before(req.QueueDeadline) && g.target.isDoubtful(now) {
-		g.mu.Unlock()
-		return grant{}, outcome.Refused(outcome.CodeTargetSuspected, "an earlier request has run for unusually long")
-	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
 	if g.target.inFlight < g.target.announced.Slots && isNext {
 		gr := g.takeSlot(req, now, isTrial)
@@ -152,7 +148,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	r := &run{startedAt: now, routeHash: req.RouteHash}
+	r := &run{}
 	g.target.runs[r] = struct{}{}
 	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial, run: r}
 }
--- a/process/gate/durations.go
+++ b/process/gate/durations.go
@@ -15,12 +15,12 @@
 	maxRoutes = 64
 )
 
-// Limits of the time that a request runs, in mean absolute deviations above the mean
-// of its route. About one in fifty requests of a healthy target exceeds
-// stallDeviations.
+// The stall limit of a route lies above its mean by a number of mean absolute
+// deviations.
 const (
+	// stallDeviations is exceeded by one or two in a hundred requests of a
+	// healthy target.
 	stallDeviations = 4
-	doubtDeviations = 1
 	// shortHistoryDeviations, divided by the number of measured requests, is added
 	// while the history of a route is short.
 	shortHistoryDeviations = 8
@@ -84,22 +84,7 @@
 	if !isKnown {
 		return targetLatency
 	}
-	return r.limit(stallDeviations)
-}
-
-// doubtLimit returns the duration from which a request of the route casts doubt on
-// the target.
-func (d *durations) doubtLimit(routeHash uint32) time.Duration {
-	r, isKnown := d.byRoute[routeHash]
-	if !isKnown {
-		return d.all
-	}
-	return r.limit(doubtDeviations)
-}
-
-// limit returns the mean plus the given number of deviations.
-func (r routeDurations) limit(deviations float64) time.Duration {
-	deviations += shortHistoryDeviations / float64(r.count)
+	deviations := stallDeviations + shortHistoryDeviations/float64(r.count)
 	deviation := max(float64(r.deviation), minDeviationShare*float64(r.mean))
 	return r.mean + time.Duration(deviations*deviation)
 }
--- a/process/gate/stall.go
+++ b/process/gate/stall.go
@@ -10,8 +10,6 @@
 
 // run is a request that runs at the target. Gate.mu guards it.
 type run struct {
-	startedAt time.Time
-	routeHash uint32
 	// isStalled means that the request has exceeded its stall limit.
 	isStalled bool
 	// stallTimer fires at the stall limit.
@@ -61,11 +59,7 @@
 	if gr.isTrial {
 		g.target.breaker.EndTrial()
 	}
-	if g.target.hasSucceededSince(gr.run) {
-		g.target.breaker.RecordStalledAmongSuccesses(now)
-	} else {
-		g.target.breaker.RecordLost(now)
-	}
+	g.target.breaker.RecordStall(now, g.target.lastSuccessStart.After(gr.startedAt))
 	g.dispatchWaiters()
 	return true
 }
@@ -95,18 +89,3 @@
 	_, ok := t.runs[r]
 	return ok
 }
-
-// hasSucceededSince reports whether a request that started after r has succeeded.
-func (t *targetState) hasSucceededSince(r *run) bool { return t.lastSuccessStart.After(r.startedAt) }
-
-// isDoubtful reports whether a request has run for longer than usual and none that
-// started later has succeeded. That is no sufficient sign of a stall, but a request
-// that must not run twice is better sent to another target.
-func (t *targetState) isDoubtful(now time.Time) bool {
-	for r := range t.runs {
-		if now.Sub(r.startedAt) > t.durations.doubtLimit(r.routeHash) && !t.hasSucceededSince(r) {
-			return true
-		}
-	}
-	return false
-}
--- a/process/health/circuit_breaker.go
+++ b/process/health/circuit_breaker.go
@@ -31,8 +31,10 @@
 	// to 1 that a lost request and an error response add to the score.
 	lostWeight  = 0.5
 	errorWeight = 0.1
-	// stalledAmongSuccessesWeight is the share for a request that lasts too long
-	// while later ones have succeeded.
+	// stallWeight is the share that a request adds which lasts far longer than
+	// usual. stalledAmongSuccessesWeight replaces it if a request that started
+	// later has succeeded.
+	stallWeight                 = 0.35
 	stalledAmongSuccessesWeight = 0.2
 	// successFactor is the share of the score that remains after a success. An
 	// unhealthy target serves some requests, so after a lost request two
@@ -103,10 +105,14 @@
 // RecordLost records a request without a complete response.
 func (b *CircuitBreaker) RecordLost(now time.Time) { b.recordFailure(now, lostWeight) }
 
-// RecordStalledAmongSuccesses records a request that lasts far longer than usual
-// while one that started later has succeeded.
-func (b *CircuitBreaker) RecordStalledAmongSuccesses(now time.Time) {
-	b.recordFailure(now, stalledAmongSuccessesWeight)
+// RecordStall records a request that lasts far longer than usual.
+// hasSucceededSince means that one that started later has succeeded.
+func (b *CircuitBreaker) RecordStall(now time.Time, hasSucceededSince bool) {
+	if hasSucceededSince {
+		b.recordFailure(now, stalledAmongSuccessesWeight)
+		return
+	}
+	b.recordFailure(now, stallWeight)
 }
 
 // RecordError records a response that reports an error of the target itself.
