entry: keep the durations of routes of different kinds apart

Cause: the gates measure durations by a hash of the route's name, and routes of different kinds may share a name.

Change: the hash covers the kind as well.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 )
 
@@ -145,7 +147,7 @@
 	c := s.call
 	outgoing := hopheader.Request{
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
-		RouteHash: uint32(xxhash.Sum64String(c.route.Name)),
+		RouteHash: routeHash(c.route),
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
 		SoftDeadline: c.in.ReceivedAt.Add(c.targetLatency()), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
@@ -168,6 +170,12 @@
 	s.results <- result{gate: to, response: resp, problem: problem, usedChargedRetry: outgoing.RetryCharged, retryCharged: retryCharged}
 }
 
+// routeHash identifies a route for the gates' measured durations. Routes of
+// different kinds may have the same name.
+func routeHash(r configuration.Route) uint32 {
+	return uint32(xxhash.Sum64String(r.Name + "/" + strconv.FormatBool(r.Idempotent)))
+}
+
 // sendToGate offers the request to a gate, sends its body once the gate has
 // granted it a slot, and reads the response. It calls onHedgeDue if the gate
 // reports that the target has stalled, or if the target takes so long that a
--- a/process/entry/dispatch_test.go
+++ b/process/entry/dispatch_test.go
@@ -10,6 +10,7 @@
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
@@ -85,6 +86,17 @@
 	is.True(time.Since(startedAt) < 400*time.Millisecond) // the hedge delay is 600 ms
 }
 
+// Two routes of different kinds that share a name must not share their durations at
+// the gates: one may take ten times as long as the other.
+func TestRouteHashTellsKindsApart(t *testing.T) {
+	is := is.New(t)
+	read := configuration.Route{Name: "r", Idempotent: true, Prefix: "/a/"}
+	claim := configuration.Route{Name: "r", Prefix: "/a/"}
+	is.True(routeHash(read) != routeHash(claim))
+	read.Prefix = "/b/" // a route that moves keeps its durations
+	is.Equal(routeHash(read), routeHash(configuration.Route{Name: "r", Idempotent: true, Prefix: "/a/"}))
+}
+
 // A target's 5xx response is kept while another target works on the request. It
 // must be returned if the node shuts down in the meantime.
 func TestErrorResponseIsReturnedAtShutdown(t *testing.T) {
