http1, gate, node: bound the bytes of a response and the memory of all bodies

Cause: a peer in trouble may send bytes without end. A head had no bound: one such server took 1 to 2 GB of heap in 2 s. A body was cut at 64 MiB after allocating four times that, which four at once do not survive in 184 MB. Interim responses and late copies were skipped without end, and so were the fields of a 100 response.

Change: a head is bounded to 64 KiB, skipped responses to 16, framing by the content's bound. The bodies of a process share a budget of 0.15 of its memory, one response takes half of it at most; a body that finds no room is refused (503, Retry-After) if it is a request's, and fails with no_memory without blaming the target if it is a response's. Beyond its bound a response is lost, and its connection is closed. cuminwheel_body_bytes shows the budget's use.

Also: on a reused connection to its target a gate refuses a response without an id, which may be a late copy of an earlier one.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -1,10 +1,9 @@
 package http1
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,11 +25,24 @@
 	ErrTruncated = errors.New("the answer broke off")
 	// ErrMismatchedResponse means that the response belongs to another request.
 	ErrMismatchedResponse = errors.New("the answer belongs to another request")
+	// errResponseTooLarge means that a response's head, framing or interim
+	// responses exceed their limits.
+	errResponseTooLarge = errors.New("the answer does not end")
 )
 
 const (
-	// maxResponseBytes bounds a response body, which is held in memory.
+	// maxResponseBytes bounds a response body, which is held in memory. The
+	// BodyBudget of the process may set a lower bound.
 	maxResponseBytes = 64 << 20
+	// maxResponseHeadBytes bounds the status line and the header of a response,
+	// each interim one included.
+	maxResponseHeadBytes = 64 << 10
+	// maxSkipped bounds the interim responses and the late responses to earlier
+	// requests that precede a response.
+	maxSkipped = 16
+	// framingShare bounds the bytes of a chunked body's framing and trailer, as a
+	// multiple of its longest content.
+	framingShare = 1
 	// maxServedIDs is how many earlier requests of a connection are remembered,
 	// so that late responses to them are recognised.
 	maxServedIDs = 4
@@ -106,6 +118,7 @@
 
 // skipHeader reads up to the empty line that ends the header.
 func (c *Conn) skipHeader() error {
+	c.input.remaining = maxResponseHeadBytes
 	for {
 		line, err := c.reader.ReadSlice('\n')
 		if err != nil {
@@ -120,7 +133,8 @@
 // readResponse reads the final response to the request. It skips interim
 // responses and late responses to earlier requests of the connection.
 func (c *Conn) readResponse(ctx context.Context, r Request, responseID IDFunc) (*Response, bool, error) {
-	for {
+	for range maxSkipped + 1 {
+		c.input.remaining = maxResponseHeadBytes
 		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, errors.Wrap(ErrNoResponse, causeOr(ctx, err).Error())
@@ -131,17 +145,26 @@
 			}
 			continue
 		}
-		var b bytes.Buffer
-		n, err := io.Copy(&b, io.LimitReader(hr.Body, maxResponseBytes+1))
-		if err == nil && n > maxResponseBytes {
-			err = errBodyTooLarge
-		}
+		maxBytes := c.bodies.maxBytes()
+		c.input.remaining = int((1+framingShare)*maxBytes) + maxResponseHeadBytes
+		memory := c.bodies.newReservation()
+		body, err := readAll(hr.Body, hr.ContentLength, maxBytes, memory)
+		c.input.remaining = unlimited
 		if err != nil {
+			memory.release()
+		}
+		switch {
+		case errors.Is(err, ErrBodyMemory):
+			return nil, false, err
+		case errors.Is(err, errBodyTooLarge):
+			return nil, false, errors.Wrap(ErrTruncated, errResponseTooLarge.Error())
+		case err != nil:
 			return nil, false, errors.Wrap(ErrTruncated, causeOr(ctx, err).Error())
 		}
 		delimited := hr.ContentLength >= 0 || len(hr.TransferEncoding) > 0
 		gotID := responseID(hr.Header)
-		if gotID != "" && gotID != r.ID {
+		if gotID != r.ID && (gotID != "" || r.RequireID) {
+			memory.release()
 			if delimited && slices.Contains(c.servedIDs, gotID) {
 				continue
 			}
@@ -151,8 +174,12 @@
 		// Bytes after the response belong to no request, so the connection
 		// cannot be reused.
 		reusable := delimited && !hr.Close && c.reader.Buffered() == 0
-		return &Response{Status: hr.StatusCode, Header: hr.Header, Body: b.Bytes()}, reusable, nil
+		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, memory: memory}
+		// Releases the memory of a response that nobody passes on.
+		runtime.AddCleanup(res, (*reservation).release, memory)
+		return res, reusable, nil
 	}
+	return nil, false, errors.Wrap(ErrNoResponse, errResponseTooLarge.Error())
 }
 
 // setUsableUntil limits the reuse of the connection to a fraction of the idle
--- a/connection/http1/exchange_test.go
+++ b/connection/http1/exchange_test.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// A late second copy of an earlier response may lack an ID. On a connection that is
+// in use again it must not be taken for the response to the current request.
+func TestLateResponseWithoutIDIsRejected(t *testing.T) {
+	is := is.New(t)
+	copyWithoutID := strings.Replace(rawResponse("1", "one"), idHeader, "Other", 1)
+	pool, closePool := NewPool(serveRaw(t, false, rawResponse("1", "one"), copyWithoutID+rawResponse("2", "two")), time.Second)
+	defer closePool()
+	for i, id := range []string{"1", "2"} {
+		conn, err := pool.Get(t.Context(), time.Minute)
+		is.NoErr(err)
+		_, err = conn.Do(t.Context(), Request{Method: http.MethodGet, URI: "/", Host: "h", ID: id, RequireID: conn.Reused}, idOf, nil)
+		is.Equal(errors.Is(err, ErrMismatchedResponse), i == 1)
+		pool.Put(conn)
+	}
+	is.Equal(len(pool.idle), 0)
+}
+
 // A peer may send a duplicate response to an earlier request of the connection. It
 // must be skipped and not be taken for the response to the current request.
 func TestLateResponseIsSkipped(t *testing.T) {
--- a/connection/http1/listener.go
+++ b/connection/http1/listener.go
@@ -52,6 +52,8 @@
 	MaxBodyBytes   int64
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// Bodies is the budget for the bodies of requests; nil sets no limit.
+	Bodies *BodyBudget
 }
 
 // IncomingRequest is a request that a Listener received.
--- a/connection/http1/listener_test.go
+++ b/connection/http1/listener_test.go
@@ -15,6 +15,8 @@
 	"github.com/matryer/is"
 )
 
+var nullLogger = hclog.NewNullLogger()
+
 const idHeader = "Test-Id"
 
 func idOf(h http.Header) string { return h.Get(idHeader) }
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -33,6 +33,7 @@
 type Pool struct {
 	address     string
 	dialTimeout time.Duration
+	bodies      *BodyBudget
 	mu          sync.Mutex
 	idle        []*Conn
 	closed      bool
@@ -46,6 +47,10 @@
 	return p, p.close
 }
 
+// SetBodyBudget sets the budget for the response bodies of connections that are
+// opened from now on.
+func (p *Pool) SetBodyBudget(b *BodyBudget) { p.bodies = b }
+
 func (p *Pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,9 +73,12 @@
 
 // Conn is a client connection to a peer. It carries one request at a time.
 type Conn struct {
-	conn   net.Conn
+	conn net.Conn
+	// input limits what reader reads from conn.
+	input  *limitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
+	bodies *BodyBudget
 	// idleSince and usableUntil limit how long an idle connection may be reused.
 	idleSince   time.Time
 	usableUntil time.Time
@@ -124,10 +132,13 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	input := &limitedReader{reader: conn, remaining: unlimited, errExceeded: errResponseTooLarge}
 	return &Conn{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferSize),
+		input:  input,
+		reader: bufio.NewReaderSize(input, bufferSize),
 		writer: bufio.NewWriterSize(conn, bufferSize),
+		bodies: p.bodies,
 	}, nil
 }
 
--- a/connection/http1/request.go
+++ b/connection/http1/request.go
@@ -16,6 +16,9 @@
 	// ID is compared with the ID of the response, to detect a response to another
 	// request.
 	ID string
+	// RequireID means that the peer repeats ID in its responses, so that a response
+	// without an ID belongs to another request.
+	RequireID bool
 	// ExpectContinue sends Expect: 100-continue and holds the body back until the
 	// peer sends a 100 response. A request without a body is sent with an empty
 	// chunked one, so that the peer can always wait for the end of the body.
--- a/connection/http1/response.go
+++ b/connection/http1/response.go
@@ -13,8 +13,13 @@
 	Body   []byte
 	// Abort closes the connection instead of sending a response.
 	Abort bool
+	// memory is the reservation for Body; nil if there is none.
+	memory *reservation
 }
 
+// release returns the memory of the body to its budget.
+func (r *Response) release() { r.memory.release() }
+
 // hasNoBody reports whether a response to the method is sent without a body.
 func hasNoBody(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -82,6 +81,8 @@
 	method     string
 	closeAfter bool
 	response   chan *Response
+	// memory is the reservation for the request's body; nil if it has none.
+	memory *reservation
 	// hasBegun means that writing the response has begun; writeMu guards it.
 	hasBegun bool
 }
@@ -102,28 +103,29 @@
 	<-writerDone
 }
 
-// limitedReader fails with errHeaderTooLarge once it has read more bytes than
-// remaining allows.
+// limitedReader fails with errExceeded once it has read more bytes than remaining
+// allows.
 type limitedReader struct {
-	reader    io.Reader
-	remaining int
+	reader      io.Reader
+	remaining   int
+	errExceeded error
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
-		return 0, errHeaderTooLarge
+		return 0, r.errExceeded
 	}
 	n, err := r.reader.Read(p)
 	r.remaining -= n
 	return n, err
 }
 
-// unlimited is the value of limitedReader.remaining outside of request headers.
+// unlimited is the value of limitedReader.remaining outside of a message.
 const unlimited = 1 << 62
 
 // readRequests reads requests until the connection ends and returns the reason.
 func (c *serverConn) readRequests(ctx context.Context) error {
-	limited := &limitedReader{reader: c.conn, remaining: unlimited}
+	limited := &limitedReader{reader: c.conn, remaining: unlimited, errExceeded: errHeaderTooLarge}
 	br := bufio.NewReaderSize(limited, bufferSize)
 	for {
 		limits := c.listener.limits()
@@ -194,7 +196,8 @@
 	if hr.Body != http.NoBody {
 		c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	}
-	body, err := readBody(hr, limits.MaxBodyBytes)
+	p.memory = limits.Bodies.newReservation()
+	body, err := readBody(hr, limits.MaxBodyBytes, p.memory)
 	in.body <- bodyResult{bytes: body, err: err}
 	switch {
 	case errors.Is(err, errBodyTooLarge):
@@ -204,6 +207,12 @@
 			return err
 		}
 		return err
+	case errors.Is(err, ErrBodyMemory):
+		p.closeAfter = true
+		if !expectsContinue {
+			p.response <- refuseForMemory()
+		}
+		return err
 	case err != nil:
 		if !expectsContinue {
 			p.response <- &Response{Abort: true}
@@ -222,23 +231,21 @@
 }
 
 // readBody reads the whole body, or fails with errBodyTooLarge if it is longer than
-// maxBytes.
-func readBody(hr *http.Request, maxBytes int64) ([]byte, error) {
-	if hr.Body == http.NoBody {
-		return nil, nil
-	}
-	if hr.ContentLength > maxBytes {
-		return nil, errBodyTooLarge
-	}
-	var b bytes.Buffer
-	if hr.ContentLength > 0 {
-		b.Grow(int(min(hr.ContentLength, 1<<20)))
-	}
-	n, err := io.Copy(&b, io.LimitReader(hr.Body, maxBytes+1))
-	if err == nil && n > maxBytes {
-		err = errBodyTooLarge
-	}
-	return b.Bytes(), err
+// maxBytes, or with ErrBodyMemory.
+func readBody(hr *http.Request, maxBytes int64, memory *reservation) ([]byte, error) {
+	return readAll(hr.Body, hr.ContentLength, maxBytes, memory)
+}
+
+// memoryRetryAfter is the Retry-After, in seconds, of a request whose body finds no
+// memory: most requests end within a second.
+const memoryRetryAfter = "1"
+
+// refuseForMemory returns the refusal of a request, which has not run, because there
+// is no memory for its body.
+func refuseForMemory() *Response {
+	r := TextResponse(http.StatusServiceUnavailable, ErrBodyMemory.Error())
+	r.Header.Set("Retry-After", memoryRetryAfter)
+	return r
 }
 
 // sendContinue sends a 100 response.
@@ -320,6 +327,8 @@
 				c.startLingeringClose()
 			}
 		}
+		res.release()
+		p.memory.release()
 		c.endRequest()
 	}
 }
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -22,6 +22,7 @@
 	nodes      NodeSource
 	dataCentre string
 	region     string
+	bodies     *http1.BodyBudget
 
 	mu sync.Mutex
 	// version is the version of nodes that the maps were built from.
@@ -30,8 +31,8 @@
 	byRecord  map[membership.Record]*candidate
 }
 
-func newDirectory(n NodeSource, dataCentre, region string) *directory {
-	return &directory{nodes: n, dataCentre: dataCentre, region: region}
+func newDirectory(n NodeSource, dataCentre, region string, bodies *http1.BodyBudget) *directory {
+	return &directory{nodes: n, dataCentre: dataCentre, region: region, bodies: bodies}
 }
 
 // candidates returns the gates of a service. It first rebuilds the directory if
@@ -80,6 +81,7 @@
 		t = tierRegion
 	}
 	pool, closePool := http1.NewPool(r.GateAddress, dialTimeouts[t])
+	pool.SetBodyBudget(d.bodies)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &candidate{node: r.ControlAddress, address: r.GateAddress, tier: t, pool: pool, ctx: ctx, close: func() {
 		cancel()
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -289,6 +289,9 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return outcome.Refused(outcome.CodeDeadlineExceeded, "the deadline has passed before a slot was free")
 	}
+	if errors.Is(err, http1.ErrBodyMemory) {
+		return outcome.Failed(outcome.CodeNoMemory, "%v", err)
+	}
 	to.pool.CloseIdle()
 	p := e.recordUnreachable(to, err)
 	if granted {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -58,6 +58,8 @@
 	Headers        Headers
 	Logger         hclog.Logger
 	Meter          Meter
+	// Bodies is the budget for the bodies of responses; nil sets no limit.
+	Bodies *http1.BodyBudget
 	// ShutdownDeadline returns when requests in progress at a leaving node must
 	// have ended, or zero if the node is not leaving.
 	ShutdownDeadline func() time.Time
@@ -77,7 +79,7 @@
 
 // New returns an entry and a function that closes its connections to gates.
 func New(o Options) (*Entry, func()) {
-	d := newDirectory(o.Nodes, o.DataCentre, o.Region)
+	d := newDirectory(o.Nodes, o.DataCentre, o.Region, o.Bodies)
 	return &Entry{options: o, directory: d, startedAt: time.Now(), splitPoints: map[string]float64{}}, d.close
 }
 
--- a/process/entry/probe_test.go
+++ b/process/entry/probe_test.go
@@ -61,7 +61,7 @@
 // goroutine.
 func TestOneProbeLoopPerGate(t *testing.T) {
 	is := is.New(t)
-	d := newDirectory(staticNodes{}, "here", "r")
+	d := newDirectory(staticNodes{}, "here", "r", nil)
 	c := d.newCandidate(membership.Record{GateAddress: "127.0.0.1:1", Service: "s"})
 	wasReachable, startsProbing := c.markUnreachable()
 	is.True(wasReachable && startsProbing)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -36,6 +36,8 @@
 	Headers Headers
 	Logger  hclog.Logger
 	Meter   Meter
+	// Bodies is the budget for the bodies of responses; nil sets no limit.
+	Bodies *http1.BodyBudget
 	// RetryRatio, RetrySlack and RetryWindow are the fleet-wide retry limit:
 	// RetryRatio retries per request plus RetrySlack retries per RetryWindow.
 	RetryRatio  float64
@@ -69,6 +71,7 @@
 // connections to the target.
 func New(o Options) (*Gate, func()) {
 	pool, closePool := http1.NewPool(o.Address, dialTimeout)
+	pool.SetBodyBudget(o.Bodies)
 	g := &Gate{options: o, targetConns: pool, target: newTargetState(), gateCount: o.GateCount()}
 	g.retryBudget.quota = g.computeRetryQuota()
 	g.retryBudget.tokens = g.retryBudget.quota.capacity
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -132,6 +132,9 @@
 	}, time.Now())
 	resp, err := conn.Do(ctx, http1.Request{
 		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
+		// On a reused connection the response may be a late one to an earlier
+		// request.
+		RequireID: conn.Reused,
 	}, g.options.Headers.ResponseRequestID, nil)
 	if err != nil {
 		res, p := classifyError(ctx, err)
@@ -152,6 +155,8 @@
 		return resultInconclusive, outcome.Failed(outcome.CodeCallerDisconnected, "the caller left")
 	case errors.Is(err, http1.ErrMismatchedResponse):
 		return resultLost, outcome.Failed(outcome.CodeResponseMismatched, "%v", err)
+	case errors.Is(err, http1.ErrBodyMemory):
+		return resultInconclusive, outcome.Failed(outcome.CodeNoMemory, "%v", err)
 	case errors.Is(err, http1.ErrTruncated):
 		return resultLost, outcome.Failed(outcome.CodeResponseTruncated, "%v", err)
 	}
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -22,6 +22,7 @@
 	})
 	m.set.NewGauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.view.Nodes())) })
 	m.set.NewGauge("cuminwheel_target_busy", func() float64 { return float64(n.gate.State().Outstanding) })
+	m.set.NewGauge("cuminwheel_body_bytes", func() float64 { return float64(n.bodies.Used()) })
 	m.set.NewGauge("cuminwheel_target_suspect", func() float64 {
 		if n.gate.State().Suspected {
 			return 1
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -63,6 +63,8 @@
 	view          *membership.View
 	gossiper      *membership.Gossiper
 	gate          *gate.Gate
+	// bodies is the budget for all bodies that the entry and the gate hold.
+	bodies *http1.BodyBudget
 
 	// entryListener accepts callers, gateListener the entries of all nodes.
 	entryListener *http1.Listener
@@ -110,16 +112,17 @@
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, pool, n.logger.Named("roster"))
 
+	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
-		Meter: n.meter, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		Meter: n.meter, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: n.countServiceGates, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
-		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, ShutdownDeadline: n.shutdownDeadline,
+		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
@@ -171,6 +174,23 @@
 	return nil
 }
 
+const (
+	// bodyMemoryShare is the share of the process's memory that bodies may use. As
+	// much again is garbage until it is collected.
+	bodyMemoryShare = 0.15
+	// defaultBodyBudget, in bytes, applies to a process without a memory limit.
+	defaultBodyBudget = 64 << 20
+)
+
+// bodyBudgetBytes returns the budget for bodies of a process with the given memory
+// limit; 0 means no limit.
+func bodyBudgetBytes(memory int64) int64 {
+	if memory == 0 {
+		return defaultBodyBudget
+	}
+	return int64(bodyMemoryShare * float64(memory))
+}
+
 // startTask runs f in a goroutine that close waits for.
 func (n *Node) startTask(f func()) {
 	n.tasks.Add(1)
@@ -183,7 +203,7 @@
 // callerLimits returns the limits for requests of callers.
 func (n *Node) callerLimits() http1.Limits {
 	l := n.configuration.Configuration().Limits()
-	return http1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return http1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Bodies: n.bodies}
 }
 
 const (
