platform, node, membership: follow the store back to an older copy

Cause: nothing knew the store's era. A position that exists again after the store went back means another record: versions written again below it were missed without any error. A node's record that was lost stayed lost, and that of a node that had left was there again for nodes that start.

At each rise every node writes its own record again, spread over 1.5 s, and the removal of each node that left is written by the next running node in the order of addresses. The stand-in store goes back on request (revert_ms), the soak does so in every second schedule, overlapping the other faults, and its operator writes again.

--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -99,6 +99,25 @@
 	return slices.Collect(maps.Values(v.records))
 }
 
+// InheritedRemovals returns the records of the nodes that left and whose removal this
+// node looks after: it is the first node, in the order of control addresses, after
+// the one that left.
+func (v *View) InheritedRemovals() []Record {
+	nodes := v.Nodes()
+	self := v.Self()
+	var inherited []Record
+	for _, r := range v.All() {
+		if !r.Gone || r.ControlAddress == self.ControlAddress || len(nodes) == 0 {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(nodes, r.ControlAddress, func(n Record, a string) int { return strings.Compare(n.ControlAddress, a) })
+		if nodes[i%len(nodes)].ControlAddress == self.ControlAddress {
+			inherited = append(inherited, r)
+		}
+	}
+	return inherited
+}
+
 // Nodes returns the records of the nodes that have not left, sorted by control
 // address.
 func (v *View) Nodes() []Record {
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -23,13 +23,7 @@
 	if !n.settings.Bootstrap {
 		n.readNodes(ctx)
 	}
-	retry(ctx, func() bool {
-		err := n.platform.Registry.Join(ctx, n.view.Self())
-		if err != nil {
-			n.logger.Warn("registering the node in the store failed", "reason", err)
-		}
-		return err == nil
-	})
+	retry(ctx, func() bool { return n.writeOwnRecord(ctx) })
 	sleep(ctx, settleTime)
 	retry(ctx, func() bool { return n.readNodes(ctx) })
 }
@@ -49,6 +43,52 @@
 	return true
 }
 
+// restoreSpread is the time over which the nodes spread their writes after the
+// registry lost records. The platform expects them back within about two seconds.
+const restoreSpread = 1500 * time.Millisecond
+
+// restoreRecords writes again, each time that the registry has lost what was written
+// in the last seconds, the node's own record and the removals of nodes that left. Each
+// removal is written by one node. reverted is closed at the first loss.
+func (n *Node) restoreRecords(ctx context.Context, reverted <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reverted:
+		}
+		reverted = n.platform.Registry.Reverted()
+		sleep(ctx, time.Duration(rand.Float64()*float64(restoreSpread)))
+		removed := n.view.InheritedRemovals()
+		n.logger.Info("the store came back from an older copy; restoring records", "removals", len(removed))
+		retry(ctx, func() bool { return n.writeOwnRecord(ctx) })
+		for _, r := range removed {
+			retry(ctx, func() bool {
+				err := n.platform.Registry.Leave(ctx, r)
+				if err != nil {
+					n.logger.Warn("removing a node's record from the store failed", "node", r.ControlAddress, "reason", err)
+				}
+				return err == nil
+			})
+		}
+	}
+}
+
+// writeOwnRecord writes the node's record, or removes it if the node has left, and
+// reports whether that succeeded.
+func (n *Node) writeOwnRecord(ctx context.Context) bool {
+	self := n.view.Self()
+	write := n.platform.Registry.Join
+	if self.Gone {
+		write = n.platform.Registry.Leave
+	}
+	err := write(ctx, self)
+	if err != nil {
+		n.logger.Warn("registering the node in the store failed", "gone", self.Gone, "reason", err)
+	}
+	return err == nil
+}
+
 // retry calls call, with exponential backoff and jitter between the attempts, until
 // it succeeds or ctx ends.
 func retry(ctx context.Context, call func() bool) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -36,6 +36,9 @@
 	Leave(ctx context.Context, r membership.Record) error
 	// Nodes returns the records that can be read, and how many cannot.
 	Nodes(ctx context.Context) (records []membership.Record, malformed int, err error)
+	// Reverted returns a channel that is closed when the registry next loses what
+	// was written in the last seconds.
+	Reverted() <-chan struct{}
 }
 
 // Platform holds what a node needs from the platform that it runs on.
@@ -133,6 +136,8 @@
 	})
 	n.startTask(func() { n.gossiper.Run(ctx) })
 	n.startTask(func() { n.join(ctx) })
+	reverted := n.platform.Registry.Reverted()
+	n.startTask(func() { n.restoreRecords(ctx, reverted) })
 	return nil
 }
 
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -380,3 +380,47 @@
 	}
 	is.True(time.Since(start) < 900*time.Millisecond) // before the second read of the store
 }
+
+// The store may come back from a copy some seconds old. The configuration must not
+// revert, the operator's next version must become active, the record of a node that
+// joined since must be in the store again, and that of a node that left since must
+// not.
+func TestStoreComesBackFromOlderCopy(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3)
+	copiedAt := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	f.publish(2)
+	f.publish(3)
+	joined := f.addVM()
+	left := f.vms[0]
+	is.NoErr(left.announcer.Deregister(t.Context()))
+	left.leave(t.Context())
+	for _, v := range f.vms[1:] {
+		f.awaitStatus(v, `"configuration_version":3,"nodes":3`)
+	}
+	f.store.SetFaults(store.Faults{RevertMillis: int(time.Since(copiedAt).Milliseconds()) - 50})
+	client, closeClient := platform.NewStore(f.storeAddress)
+	defer closeClient()
+	stored := func() map[string]bool {
+		records, _, err := platform.NewNodeRegistry(client).Nodes(t.Context())
+		is.NoErr(err)
+		addresses := map[string]bool{}
+		for _, r := range records {
+			addresses[r.ControlAddress] = true
+		}
+		return addresses
+	}
+	is.True(stored()[left.settings.Control])
+	is.True(!stored()[joined.settings.Control])
+	time.Sleep(2 * time.Second) // within which the platform expects entries back
+	is.True(stored()[joined.settings.Control])
+	is.True(!stored()[left.settings.Control])
+	for _, v := range f.vms[1:] {
+		f.awaitStatus(v, `"configuration_version":3,"nodes":3`)
+	}
+	f.publish(4)
+	for _, v := range f.vms[1:] {
+		f.awaitStatus(v, `"configuration_version":4,"nodes":3`)
+	}
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -34,6 +34,9 @@
 // restartDelay is the time that the platform takes to restart a process.
 const restartDelay = 300 * time.Millisecond
 
+// storeOutage is how long the store is away before it comes back from an older copy.
+const storeOutage = 500 * time.Millisecond
+
 // restartIfExited starts a process that has exited. Since faults overlap, another one
 // may have restarted it already.
 func (f *fleet) restartIfExited(p *process) {
@@ -98,6 +101,14 @@
 		for _, p := range f.storeProxies {
 			p.setMode(modePass)
 		}
+	case faultRevert:
+		f.setFaults(f.storeAddress(), `{"outage":true}`)
+		time.Sleep(storeOutage)
+		f.setFaults(f.storeAddress(), fmt.Sprintf(`{"revert_ms":%d}`, e.duration.Milliseconds()))
+		// The operator writes again what the store has lost.
+		if err := f.publish(ctx); err != nil {
+			f.recordViolation("publish: %v", err)
+		}
 	case faultPublish:
 		if err := f.publish(ctx); err != nil {
 			f.recordViolation("publish: %v", err)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -19,6 +21,7 @@
 	faultPublish   = "publish"
 	faultKillAll   = "kill_all"
 	faultReload    = "sighup"
+	faultRevert    = "store_reverts"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
@@ -75,5 +78,21 @@
 	if rng.IntN(3) == 0 {
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
-	return events
+	return insertReversion(events, seed, duration)
+}
+
+// insertReversion adds a return of the store from an older copy to every second
+// schedule. It draws from random numbers of its own, which leaves the other faults of
+// a seed as they are.
+func insertReversion(events []event, seed uint64, duration time.Duration) []event {
+	rng := rand.New(rand.NewPCG(seed, 78))
+	if rng.IntN(2) == 0 {
+		return events
+	}
+	e := event{
+		at: time.Duration(rng.Int64N(int64(duration - lastFaultMargin))), kind: faultRevert,
+		duration: time.Duration(1000+rng.IntN(4000)) * time.Millisecond,
+	}
+	i, _ := slices.BinarySearchFunc(events, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return slices.Insert(events, i, e)
 }
--- a/standin/store/log.go
+++ b/standin/store/log.go
@@ -41,6 +41,18 @@
 type logs struct {
 	mu         sync.Mutex
 	partitions map[string]*partition
+	// era rises each time that the logs go back to an older state.
+	era int64
+	// history holds everything that was appended in this era or kept from the one
+	// before, so that an older state can be restored.
+	history []historyEntry
+}
+
+// historyEntry is a record with the time at which it was appended.
+type historyEntry struct {
+	topic, part string
+	record      []byte
+	at          time.Time
 }
 
 // keyedPrefix begins the names of the topics that keep the newest value of each key.
@@ -97,18 +109,55 @@
 	}
 	offset = p.endOffset()
 	for _, r := range records {
-		if p.isKeyed {
-			key, value := string(r[1:1+r[0]]), r[1+r[0]:]
-			p.newestByKey[key] = keyedValue{value: value, offset: p.endOffset()}
-			if len(value) == 0 {
-				delete(p.newestByKey, key)
-			}
+		p.append(r)
+		l.history = append(l.history, historyEntry{topic: topic, part: part, record: r, at: time.Now()})
+	}
+	p.wakeReaders()
+	return offset, p.endOffset(), nil
+}
+
+// append adds a valid record.
+func (p *partition) append(r []byte) {
+	if p.isKeyed {
+		key, value := string(r[1:1+r[0]]), r[1+r[0]:]
+		p.newestByKey[key] = keyedValue{value: value, offset: p.endOffset()}
+		if len(value) == 0 {
+			delete(p.newestByKey, key)
 		}
-		p.records = append(p.records, r)
 	}
+	p.records = append(p.records, r)
+}
+
+func (p *partition) wakeReaders() {
 	close(p.appended)
 	p.appended = make(chan struct{})
-	return offset, p.endOffset(), nil
+}
+
+// revert restores the state of the given time and raises the era. Offsets from then
+// on are given out again. Records that deleteRecords deleted are there again.
+func (l *logs) revert(to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := 0
+	for kept < len(l.history) && !l.history[kept].at.After(to) {
+		kept++
+	}
+	l.history = l.history[:kept:kept]
+	previous := l.partitions
+	l.partitions = map[string]*partition{}
+	for _, e := range l.history {
+		l.getOrCreatePartition(e.topic, e.part).append(e.record)
+	}
+	l.era++
+	for _, p := range previous {
+		p.wakeReaders()
+	}
+}
+
+func (l *logs) currentEra() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
 }
 
 // readRecords returns the end offset, the first offset still held and the records from
@@ -120,7 +169,7 @@
 		l.mu.Lock()
 		p := l.getOrCreatePartition(topic, part)
 		end, first = p.endOffset(), p.firstOffset
-		if from < first {
+		if from < first || from > end {
 			l.mu.Unlock()
 			return end, first, nil, errRecordsDeleted
 		}
@@ -149,7 +198,6 @@
 	defer l.mu.Unlock()
 	for _, p := range l.partitions {
 		p.firstOffset, p.records = p.endOffset(), nil
-		close(p.appended)
-		p.appended = make(chan struct{})
+		p.wakeReaders()
 	}
 }
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -27,6 +27,9 @@
 	LoseResponses int `json:"lose_answers"`
 	// DeleteRecords deletes all records once. The newest value of each key stays.
 	DeleteRecords bool `json:"forget"`
+	// RevertMillis restores the state of that long ago, once. What was written
+	// since is lost.
+	RevertMillis int `json:"revert_ms"`
 }
 
 // Server is the stand-in for the store. Use New to create one.
@@ -48,7 +51,7 @@
 // New returns an empty store.
 func New() *Server {
 	return &Server{
-		logs: logs{partitions: map[string]*partition{}}, PageSize: defaultPageSize, callCounts: map[string]int{},
+		logs: logs{partitions: map[string]*partition{}, era: 1}, PageSize: defaultPageSize, callCounts: map[string]int{},
 	}
 }
 
@@ -57,6 +60,9 @@
 	if f.DeleteRecords {
 		s.logs.deleteRecords()
 	}
+	if f.RevertMillis > 0 {
+		s.logs.revert(time.Now().Add(-time.Duration(f.RevertMillis) * time.Millisecond))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
@@ -86,13 +92,27 @@
 		return c.NoContent(http.StatusNoContent)
 	})
 	e.GET("/calls", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Calls()) })
-	g := e.Group("/cuminwheel", s.injectFaults)
+	g := e.Group("/cuminwheel", s.setEra, s.injectFaults)
 	g.POST("/log-append", s.handleAppend)
 	g.GET("/log-read", s.handleRead)
 	g.GET("/log-newest", s.handleNewest)
 	return e
 }
 
+// eraHeader holds the number of times that the store has gone back to an older
+// state, plus one.
+const eraHeader = "Store-Era"
+
+// setEra adds the era, as of the response, to each response.
+func (s *Server) setEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			c.Response().Header().Set(eraHeader, strconv.FormatInt(s.logs.currentEra(), 10))
+		})
+		return next(c)
+	}
+}
+
 // injectFaults counts each call and applies the current faults to it.
 func (s *Server) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
