--- a/soak/soak.go
+++ b/soak/soak.go
@@ -188,6 +188,12 @@
 	if err := os.MkdirAll(f.options.LogDir, 0o755); err != nil {
 		return err
 	}
+	for _, file := range f.executionFiles() {
+		// Records of an earlier run would count its requests as executed again.
+		if err := os.Remove(file); err != nil && !os.IsNotExist(err) {
+			return err
+		}
+	}
 	f.store = f.newProcess("store", "standin", "store", "--listen", f.storeAddress())
 	if err := f.store.start(); err != nil {
 		return err
