node: test runs on one machine use networks of their own

Cause: the tests bound fixed loopback addresses, so that two runs failed each other (address already in use).

--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,10 @@
 // of its own, since all listen on the same ports.
 var vmCount atomic.Int64
 
+// loopbackNetwork is the network of the VMs' addresses. It follows from the process
+// ID, so that test runs on one machine do not use each other's addresses.
+var loopbackNetwork = fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%256)
+
 func newFleet(t *testing.T, vms int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: store.New(), executions: &executionCounter{byRequest: map[string]int{}}}
@@ -91,7 +96,10 @@
 func (f *fleet) addVM() *vm {
 	t := f.t
 	i := vmCount.Add(1)
-	address := func(port int) string { return fmt.Sprintf("127.77.%d.%d:%d", i/250, 1+i%250, 7000+port) }
+	if i > 254 {
+		t.Fatal("the tests start more VMs than the network has addresses")
+	}
+	address := func(port int) string { return fmt.Sprintf("%s.%d:%d", loopbackNetwork, i, 7000+port) }
 	s := settings.Settings{
 		Entry: address(0), Gate: address(1), Control: address(2), Ready: address(3), Admin: address(4), Metrics: address(5), Region: "r", DataCentre: "d", Service: "s", Store: f.storeAddress, GracePeriod: 6 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second,
