--- a/connection/http1/doc.go
+++ b/connection/http1/doc.go
@@ -18,5 +18,11 @@
 // one or opens a new one, Conn.Do carries one request at a time, and Put returns
 // the connection to the pool. The package never sends a request twice: an error
 // tells whether any part of the request may have been acted on, and the code that
-// called Do decides whether to retry.
+// called Do decides whether to retry. While the handler of a Listener works on a
+// request, IncomingRequest.SendInterim sends interim responses, which Do passes to
+// Request.OnInterim.
+//
+// Everything that a peer sends is bounded: heads, bodies and framing in bytes, what
+// precedes a response in number. Messages are held in memory as a whole; a BodyBudget
+// bounds the bodies of a process together.
 package http1
--- a/connection/http1/endless_test.go
+++ b/connection/http1/endless_test.go
@@ -169,7 +169,7 @@
 	limits := testLimits
 	limits.Bodies = NewBodyBudget(64 << 10)
 	ran := 0
-	l, closeListener, err := Listen("127.0.0.1:0", func(ctx context.Context, in *IncomingRequest) *Response {
+	l, closeListener, err := Listen("127.0.0.1:0", func(context.Context, *IncomingRequest) *Response {
 		ran++
 		return TextResponse(http.StatusOK, "ran")
 	}, func() Limits { return limits }, nullLogger)
--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -18,8 +18,9 @@
 //   - a failure: the target may have run the request, and only an idempotent
 //     request is sent to another one.
 //
-// An idempotent request whose target is slow is hedged, that is, sent to a
-// second target while the first attempt goes on.
+// An idempotent request is hedged, that is, sent to a second target while the first
+// attempt goes on, when its gate reports that it has stalled or when half of its time
+// is over.
 //
 // Decisions are kept apart from I/O. selection.go chooses the next gate and the
 // time that the request may wait there, candidate.go tracks the state of a gate
--- a/process/health/doc.go
+++ b/process/health/doc.go
@@ -13,8 +13,8 @@
 // takes the target from PhaseServing to PhaseEjected, to PhaseTrial and back to
 // PhaseServing or PhaseEjected, with longer ejections for a target that flaps.
 //
-// A CircuitBreaker decides on its own, from the last failures of one target,
-// which requests the target may be given now. The gate calls it before it admits
+// A CircuitBreaker decides on its own, from the last failures and stalls of one
+// target, which requests the target may be given now. The gate calls it before it admits
 // a request and records the result of each request. So far only package
 // experiment runs Detector and EjectionState.
 package health
--- a/standin/store/doc.go
+++ b/standin/store/doc.go
@@ -7,5 +7,5 @@
 // offset of the partition, and a read may wait for new records.
 //
 // The faults of the store are set over HTTP: it can be unavailable, slow or silent, lose
-// the responses to writes, and delete its records.
+// the responses to writes, delete its records, and go back to an older state.
 package store
