--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -260,9 +260,15 @@
 			g.target.breaker.RecordLost(now)
 		}
 	}
+	g.logSuspicion(gr, wasSuspected, now, res.String())
+}
+
+// logSuspicion logs that the target has become suspected or is no longer suspected.
+// The caller holds mu.
+func (g *Gate) logSuspicion(gr grant, wasSuspected bool, now time.Time, reason string) {
 	if isSuspected := g.target.breaker.IsSuspected(now); isSuspected != wasSuspected {
 		g.options.Logger.Info("circuit breaker state changed", "instance", gr.instance, "suspect", isSuspected,
-			"reason", res.String())
+			"reason", reason)
 	}
 }
 
--- a/process/gate/stall.go
+++ b/process/gate/stall.go
@@ -59,7 +59,9 @@
 	if gr.isTrial {
 		g.target.breaker.EndTrial()
 	}
+	wasSuspected := g.target.breaker.IsSuspected(now)
 	g.target.breaker.RecordStall(now, g.target.lastSuccessStart.After(gr.startedAt))
+	g.logSuspicion(gr, wasSuspected, now, "stalled")
 	g.dispatchWaiters()
 	return true
 }
