http1, entry: an unexpected error ends one request, not the process

Cause: a panic while one request was handled ended the node, with all requests in progress at its entry and its gate.

Change: the connection of that request is closed without a response, which promises nothing, and the stack is logged; a panicking attempt counts as one whose outcome is unknown. Both shown by tests that ended the test process before.

--- a/connection/http1/listener_test.go
+++ b/connection/http1/listener_test.go
@@ -68,6 +68,27 @@
 	return out
 }
 
+// An unexpected error while one request is handled must not end the process, nor get
+// that request a response that says that it has not run.
+func TestPanicEndsOneConnection(t *testing.T) {
+	is := is.New(t)
+	l := listen(t, func(_ context.Context, in *IncomingRequest) *Response {
+		if in.Path == "/panic" {
+			panic("unexpected")
+		}
+		return TextResponse(http.StatusOK, in.Path)
+	})
+	other, otherReader := dial(t, l.Address())
+	conn, r := dial(t, l.Address())
+	_, err := io.WriteString(conn, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	_, err = io.WriteString(other, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(readBodies(t, otherReader, 1), []string{"/a\n"})
+}
+
 // An interim response must reach the sender before the final one. One that is sent
 // late must not come between the final response and the next request.
 func TestInterimResponse(t *testing.T) {
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -225,9 +226,19 @@
 	return nil
 }
 
-// startHandler runs the handler in a goroutine and passes its response to p.
+// startHandler runs the handler in a goroutine and passes its response to p. If the
+// handler panics, the connection is closed without a response, since the request may
+// have been run; all other requests go on.
 func (c *serverConn) startHandler(ctx context.Context, in *IncomingRequest, p *pendingRequest) {
-	go func() { p.response <- c.listener.handler(ctx, in) }()
+	go func() {
+		defer func() {
+			if r := recover(); r != nil {
+				c.listener.logger.Error("handler panicked; closing the connection", "path", in.Path, "reason", r, "stack", string(debug.Stack()))
+				p.response <- &Response{Abort: true}
+			}
+		}()
+		p.response <- c.listener.handler(ctx, in)
+	}()
 }
 
 // readBody reads the whole body, or fails with errBodyTooLarge if it is longer than
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -143,6 +144,12 @@
 // attempt sends the request to one gate and delivers the result on s.results. s
 // is a copy, taken when the attempt began.
 func (e *Entry) attempt(ctx context.Context, s dispatchState, to *candidate, p selectionPass, snap snapshot) {
+	defer func() {
+		if r := recover(); r != nil {
+			e.options.Logger.Error("gate attempt panicked", "request", s.call.id, "gate", to.address, "reason", r, "stack", string(debug.Stack()))
+			s.results <- result{gate: to, problem: outcome.Failed(outcome.CodeGateConnectionLost, "the attempt ended unexpectedly")}
+		}
+	}()
 	now := time.Now()
 	c := s.call
 	outgoing := hopheader.Request{
--- a/process/entry/dispatch_test.go
+++ b/process/entry/dispatch_test.go
@@ -86,6 +86,22 @@
 	is.True(time.Since(startedAt) < 400*time.Millisecond) // the hedge delay is 600 ms
 }
 
+type panickingHeaders struct{ stubHeaders }
+
+func (panickingHeaders) ResponseRequestID(http.Header) string { panic("unexpected") }
+
+// An unexpected error in an attempt must not end the process. The claim may have been
+// run by then, so that its caller must not be told that it has not.
+func TestPanicInAttemptFailsOneRequest(t *testing.T) {
+	is := is.New(t)
+	f := newGateFleet(t, respondOK("a"))
+	f.entry.options.Headers = panickingHeaders{}
+	is.Equal(f.call(t, "/claim/").Status, http.StatusBadGateway)
+	is.Equal(f.bodiesReceived[0].Load(), int64(1))
+	f.entry.options.Headers = stubHeaders{}
+	is.Equal(f.call(t, "/claim/").Status, http.StatusOK)
+}
+
 // Two routes of different kinds that share a name must not share their durations at
 // the gates: one may take ten times as long as the other.
 func TestRouteHashTellsKindsApart(t *testing.T) {
