gate: no stall limit below the pause of a VM without CPU quota

A VM that has used up its quota pauses for the rest of a tenth of a second, which would make a sound target suspected.

Change: the limit is 100 ms at least.

--- a/process/gate/durations.go
+++ b/process/gate/durations.go
@@ -24,6 +24,9 @@
 	// shortHistoryDeviations, divided by the number of measured requests, is added
 	// while the history of a route is short.
 	shortHistoryDeviations = 8
+	// minStallLimit exceeds the pause of a VM that has used up its CPU quota for the
+	// rest of a tenth of a second.
+	minStallLimit = 100 * time.Millisecond
 	// minDeviationShare is the least deviation, as a share of the mean.
 	minDeviationShare = 0.25
 )
@@ -86,7 +89,7 @@
 	}
 	deviations := stallDeviations + shortHistoryDeviations/float64(r.count)
 	deviation := max(float64(r.deviation), minDeviationShare*float64(r.mean))
-	return r.mean + time.Duration(deviations*deviation)
+	return max(minStallLimit, r.mean+time.Duration(deviations*deviation))
 }
 
 // isShort reports whether requests of the route are short enough to be served
--- a/process/gate/stall_test.go
+++ b/process/gate/stall_test.go
@@ -188,6 +188,7 @@
 	}{
 		{"none", nil, 800 * time.Millisecond},
 		{"one", []time.Duration{100 * time.Millisecond}, 700 * time.Millisecond},
+		{"fast ones", repeat(2*time.Millisecond, 100), 100 * time.Millisecond},
 		{"equal ones", repeat(100*time.Millisecond, 100), 202 * time.Millisecond},
 	}
 	for _, test := range tests {
