gate, http1: a stall is measured from the moment the target gets the request

The watch for stalls began with the grant, so that an entry that was paused before it sent the body made a sound target suspected. The memory of a body could be reserved after its request had ended, and stayed so.

Change: the watch begins when the request is sent; a run knows that it has ended, which replaces the set of runs; a reservation that was released fails to grow. The entry handles an interim response in a method of its own.

--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -36,10 +36,12 @@
 	return min(maxResponseBytes, int64(maxBodyShare*float64(b.limit)))
 }
 
-// reservation is the part of a budget that one body uses.
+// reservation is the part of a budget that one body uses. It may be released while
+// the body is still being read, which then fails.
 type reservation struct {
-	budget *BodyBudget
-	bytes  atomic.Int64
+	budget   *BodyBudget
+	bytes    atomic.Int64
+	released atomic.Bool
 }
 
 func (b *BodyBudget) newReservation() *reservation { return &reservation{budget: b} }
@@ -54,12 +56,17 @@
 		return ErrBodyMemory
 	}
 	r.bytes.Add(n)
+	if r.released.Load() {
+		r.release()
+		return ErrBodyMemory
+	}
 	return nil
 }
 
 // release returns the reserved bytes to the budget. Further calls do nothing.
 func (r *reservation) release() {
 	if r != nil && r.budget != nil {
+		r.released.Store(true)
 		r.budget.used.Add(-r.bytes.Swap(0))
 	}
 }
--- a/connection/http1/endless_test.go
+++ b/connection/http1/endless_test.go
@@ -158,8 +158,12 @@
 	small.release()
 	first.release()
 	first.release() // has no further effect
-	_, err = read(limit / 3)
+	last, err := read(limit / 3)
 	is.NoErr(err)
+	last.release()
+	used := b.Used()
+	is.Equal(last.grow(1), ErrBodyMemory) // nobody would release it again
+	is.Equal(b.Used(), used)
 }
 
 // A request whose body finds no memory must be refused as not run, with a
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -82,7 +82,7 @@
 	method     string
 	closeAfter bool
 	response   chan *Response
-	// memory is the reservation for the request's body; nil if it has none.
+	// memory is the reservation for the request's body; nil if no body is read.
 	memory *reservation
 	// hasBegun means that writing the response has begun; writeMu guards it.
 	hasBegun bool
@@ -147,7 +147,7 @@
 			return err
 		}
 		limited.remaining = unlimited
-		p := &pendingRequest{method: hr.Method, closeAfter: hr.Close, response: make(chan *Response, 1)}
+		p := &pendingRequest{method: hr.Method, closeAfter: hr.Close, response: make(chan *Response, 1), memory: limits.Bodies.newReservation()}
 		if !c.beginRequest() {
 			if c.inFlightCount() == 0 {
 				return errListenerStopped
@@ -197,7 +197,6 @@
 	if hr.Body != http.NoBody {
 		c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	}
-	p.memory = limits.Bodies.newReservation()
 	body, err := readBody(hr, limits.MaxBodyBytes, p.memory)
 	in.body <- bodyResult{bytes: body, err: err}
 	switch {
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -216,14 +216,8 @@
 	resp, err = conn.Do(ctx, http1.Request{
 		Method: c.in.Method, URI: c.in.URI, Host: c.in.Host, Header: h, Body: c.body, ID: c.id, ExpectContinue: awaitsGrant,
 		OnInterim: func(h http.Header) {
-			meta, err := hopheader.ExtractResponse(h, time.Now())
-			if err != nil {
-				e.options.Logger.Warn("interim response of a gate ignored", "request", c.id, "gate", to.address, "reason", err)
-				return
-			}
-			to.updateState(meta.State, time.Now())
-			if outgoing.CanRetry {
-				onHedgeDue(meta.RetryCharged)
+			if retryCharged, ok := e.recordStall(c, to, h); ok && outgoing.CanRetry {
+				onHedgeDue(retryCharged)
 			}
 		},
 	}, e.options.Headers.ResponseRequestID, func() {
@@ -247,6 +241,19 @@
 	return resp, meta.RetryCharged, nil
 }
 
+// recordStall records the state that a gate has sent in an interim response because a
+// request has stalled. ok is false if the response is malformed.
+func (e *Entry) recordStall(c *call, to *candidate, h http.Header) (retryCharged, ok bool) {
+	now := time.Now()
+	meta, err := hopheader.ExtractResponse(h, now)
+	if err != nil {
+		e.options.Logger.Warn("interim response of a gate ignored", "request", c.id, "gate", to.address, "reason", err)
+		return false, false
+	}
+	to.updateState(meta.State, now)
+	return meta.RetryCharged, true
+}
+
 // needsGrant reports whether the request's body is held back until the gate
 // grants a slot. Without a grant the outcome at a gate that fails is unknown,
 // which only an idempotent request can afford. Between regions such a request
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -148,9 +148,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	r := &run{}
-	g.target.runs[r] = struct{}{}
-	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial, run: r}
+	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -221,7 +221,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.target.inFlight--
-	delete(g.target.runs, gr.run)
+	gr.run.hasEnded = true
 	if gr.run.stallTimer != nil {
 		gr.run.stallTimer.Stop()
 	}
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -69,11 +69,11 @@
 	}
 	finalResult := resultInconclusive
 	defer func() { g.release(gr, finalResult) }()
-	g.watchForStall(gr, req, func(charged bool) { g.reportStall(in, gr, id, charged) })
 	body, err := in.ReadBody(ctx)
 	if err != nil {
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
+	g.watchForStall(gr, req, time.Now(), func(charged bool) { g.reportStall(in, gr, id, charged) })
 	resp, res, problem := g.forward(ctx, in, req, gr, id, body)
 	finalResult = res
 	if res.causesRetry(req) && !g.hasStalled(gr) {
--- a/process/gate/stall.go
+++ b/process/gate/stall.go
@@ -8,8 +8,9 @@
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 )
 
-// run is a request that runs at the target. Gate.mu guards it.
+// run is the state of a granted request. Gate.mu guards it.
 type run struct {
+	hasEnded bool
 	// isStalled means that the request has exceeded its stall limit.
 	isStalled bool
 	// stallTimer fires at the stall limit.
@@ -20,13 +21,14 @@
 // itself was paused, and the response may have arrived without being read yet.
 const maxTimerDelay = 30 * time.Millisecond
 
-// watchForStall records a stall and calls onStall if the request exceeds the stall
-// limit of its route. charged reports whether its retry at another target has been
-// charged to this gate. Gate.release ends the watch.
-func (g *Gate) watchForStall(gr grant, req hopheader.Request, onStall func(charged bool)) {
+// watchForStall records a stall and calls onStall if the request, which is sent to
+// the target at sentAt, exceeds the stall limit of its route. charged reports whether
+// its retry at another target has been charged to this gate. Gate.release ends the
+// watch.
+func (g *Gate) watchForStall(gr grant, req hopheader.Request, sentAt time.Time, onStall func(charged bool)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	dueAt := gr.startedAt.Add(g.target.durations.stallLimit(req.RouteHash, req.SoftDeadline.Sub(gr.startedAt)))
+	dueAt := sentAt.Add(g.target.durations.stallLimit(req.RouteHash, req.SoftDeadline.Sub(sentAt)))
 	if !dueAt.Before(req.Deadline) {
 		return
 	}
@@ -42,17 +44,18 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if g.target.isRunning(gr.run) {
+		if !gr.run.hasEnded {
 			gr.run.stallTimer = time.AfterFunc(maxTimerDelay, onTimer)
 		}
 	})
 }
 
-// recordStall records that a request has stalled, unless it has ended.
+// recordStall records that a request has stalled, unless it has ended or is one of an
+// earlier incarnation of the target.
 func (g *Gate) recordStall(gr grant, now time.Time) (recorded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.target.isRunning(gr.run) {
+	if gr.run.hasEnded || gr.instance != g.target.announced.Instance {
 		return false
 	}
 	gr.run.isStalled = true
@@ -86,8 +89,3 @@
 	defer g.mu.Unlock()
 	return gr.run.isStalled
 }
-
-func (t *targetState) isRunning(r *run) bool {
-	_, ok := t.runs[r]
-	return ok
-}
--- a/process/gate/stall_test.go
+++ b/process/gate/stall_test.go
@@ -1,13 +1,19 @@
 package gate
 
 import (
+	"io"
 	"math"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
@@ -55,7 +61,7 @@
 		t.Fatal(p)
 	}
 	stalled := make(chan bool, 1)
-	g.watchForStall(gr, req, func(charged bool) { stalled <- charged })
+	g.watchForStall(gr, req, time.Now(), func(charged bool) { stalled <- charged })
 	return gr, stalled
 }
 
@@ -145,7 +151,7 @@
 					if random.Float64() < 0.06 { // six requests a second
 						req := requestOf(longRoute, true)
 						if gr, p := g.admit(t.Context(), req); p == nil {
-							g.watchForStall(gr, req, func(bool) {})
+							g.watchForStall(gr, req, time.Now(), func(bool) {})
 							time.AfterFunc(test.duration(elapsed), func() { g.release(gr, resultSuccess) })
 						}
 					}
@@ -210,3 +216,33 @@
 	}
 	return out
 }
+
+// An entry that takes long to send the body of a granted request must not make the
+// target suspected, which does not have the request yet.
+func TestWaitForBodyIsNoStall(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	l, closeListener, err := http1.Listen("127.0.0.1:0", g.Serve, func() http1.Limits {
+		return http1.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	}, hclog.NewNullLogger())
+	is.NoErr(err)
+	defer closeListener()
+	conn, err := net.Dial("tcp", l.Address())
+	is.NoErr(err)
+	defer conn.Close()
+	now := time.Now()
+	h := http.Header{}
+	hopheader.Request{Service: "s", SoftDeadline: now.Add(20 * time.Millisecond), Deadline: now.Add(5 * time.Second), QueueDeadline: now}.Inject(h, now)
+	var request strings.Builder
+	request.WriteString("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n")
+	is.NoErr(h.Write(&request))
+	_, err = io.WriteString(conn, request.String()+"\r\n")
+	is.NoErr(err)
+	granted := make([]byte, 12)
+	_, err = io.ReadFull(conn, granted)
+	is.NoErr(err)
+	is.Equal(string(granted), "HTTP/1.1 100")
+	time.Sleep(200 * time.Millisecond) // ten times the limit of the route
+	is.Equal(g.InFlight(), 1)
+	is.True(!g.State().Suspected)
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -24,17 +24,13 @@
 	shedAt time.Time
 	// inFlight is the number of slots in use.
 	inFlight int
-	// runs holds the requests that the current incarnation runs.
-	runs map[*run]struct{}
 	// lastSuccessStart is the latest start of the requests that succeeded.
 	lastSuccessStart time.Time
 	durations        durations
 	breaker          health.CircuitBreaker
 }
 
-func newTargetState() targetState {
-	return targetState{durations: newDurations(), runs: map[*run]struct{}{}}
-}
+func newTargetState() targetState { return targetState{durations: newDurations()} }
 
 // isOpen reports whether the target accepts requests.
 func (t *targetState) isOpen() bool { return t.isKnown && !t.hasDeregistered && !t.announced.Draining }
