--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -21,8 +21,9 @@
 // breaker makes the target suspected after failures; a suspected target gets
 // one trial at a time, of requests that are idempotent and can be retried
 // elsewhere. A request that lasts far longer than those of its route usually do has
-// stalled: it counts as a failure before it ends. While the node is leaving, the gate admits only requests that are
-// expected to finish before the shutdown, and none after Drain.
+// stalled: it counts as a failure before it ends. While the node is leaving, the
+// gate admits only requests that are expected to finish before the shutdown, and
+// none after Drain.
 //
 // # Requests
 //
@@ -30,8 +31,8 @@
 // it one of the target's slots. The body is read only after the grant, which
 // tells the entry that the request is about to run. forward sends the request to
 // the target and classifies the response, and release returns the slot, records
-// the result and grants free slots to queued requests. Meanwhile watchForStall
-// tells the entry, in an interim response, if the request stalls. A gate also charges
+// the result and grants free slots to queued requests. If the request stalls before
+// that, watchForStall has the entry told in an interim response. A gate also charges
 // retries of failed requests to its share of the fleet-wide retry limit.
 //
 // # Callers
