gate, platform: log the request limit and the leave that a target names

The limit and the leave in the target's responses are decoded and logged with the number of requests sent so far, and two metrics show the limit and the requests sent. No decision uses them yet.

--- a/process/entry/probe_test.go
+++ b/process/entry/probe_test.go
@@ -26,6 +26,7 @@
 type discardGateMeter struct{}
 
 func (discardGateMeter) RecordGateRequest(outcome.Code) {}
+func (discardGateMeter) RecordTargetRequest()           {}
 
 // A gate that could not be reached gets no requests until a probe has shown
 // that it is back.
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -26,6 +26,8 @@
 	// RecordGateRequest records a request by the code of its problem; the code is
 	// empty if the target's response is passed on.
 	RecordGateRequest(code outcome.Code)
+	// RecordTargetRequest records a request that is sent to the target.
+	RecordTargetRequest()
 }
 
 // Options holds the settings and dependencies of a gate.
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -29,6 +29,7 @@
 type noMeter struct{}
 
 func (noMeter) RecordGateRequest(outcome.Code) {}
+func (noMeter) RecordTargetRequest()           {}
 
 const address = "10.0.0.1:80"
 
@@ -360,7 +361,7 @@
 			is := is.New(t)
 			g := openGate(t)
 			g.options.Headers = notRunHeaders{}
-			_, res, p := g.classifyResponse(&test.response)
+			_, res, p := g.classifyResponse(&test.response, notRunHeaders{}.ParseTargetHeaders(test.response.Status, test.response.Header))
 			is.Equal(res, test.res)
 			if test.code == "" {
 				is.True(p == nil)
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -130,6 +130,7 @@
 	g.options.Headers.SetTargetHeaders(h, metadata.TargetRequest{
 		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService,
 	}, time.Now())
+	g.recordSent()
 	resp, err := conn.Do(ctx, http1.Request{
 		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
 		// On a reused connection the response may be a late one to an earlier
@@ -140,7 +141,9 @@
 		res, p := classifyError(ctx, err)
 		return nil, res, p
 	}
-	return g.classifyResponse(resp)
+	signals := g.options.Headers.ParseTargetHeaders(resp.Status, resp.Header)
+	g.recordNotices(gr, id, signals)
+	return g.classifyResponse(resp, signals)
 }
 
 // classifyError returns the result and the problem of a request that got no
@@ -165,8 +168,7 @@
 
 // classifyResponse returns the response to pass on, if any, what it shows about the
 // target, and the problem that replaces it otherwise.
-func (g *Gate) classifyResponse(resp *http1.Response) (*http1.Response, result, *outcome.Problem) {
-	signals := g.options.Headers.ParseTargetHeaders(resp.Status, resp.Header)
+func (g *Gate) classifyResponse(resp *http1.Response, signals metadata.TargetResponse) (*http1.Response, result, *outcome.Problem) {
 	hopheader.Strip(resp.Header)
 	resp.Header = http1.CopyEndToEnd(resp.Header)
 	switch {
@@ -197,3 +199,11 @@
 	g.target.inFlight = inFlight
 	g.options.Logger.Warn("response came from another target at the address", "outcome", "closed until a target announces itself")
 }
+
+// recordSent counts a request that is about to be sent to the target.
+func (g *Gate) recordSent() {
+	g.options.Meter.RecordTargetRequest()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.target.sent++
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -28,6 +28,9 @@
 	lastSuccessStart time.Time
 	durations        durations
 	breaker          health.CircuitBreaker
+	notices          notices
+	// sent counts the requests that the incarnation was sent.
+	sent int
 }
 
 func newTargetState() targetState { return targetState{durations: newDurations()} }
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +24,13 @@
 	m.set.NewGauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.view.Nodes())) })
 	m.set.NewGauge("cuminwheel_target_busy", func() float64 { return float64(n.gate.State().Outstanding) })
 	m.set.NewGauge("cuminwheel_body_bytes", func() float64 { return float64(n.bodies.Used()) })
+	m.set.NewGauge("cuminwheel_target_request_limit", func() float64 {
+		limit, ok := n.gate.RequestLimit()
+		if !ok {
+			return math.Inf(1)
+		}
+		return limit
+	})
 	m.set.NewGauge("cuminwheel_target_suspect", func() float64 {
 		if n.gate.State().Suspected {
 			return 1
@@ -47,3 +55,8 @@
 func (m *meter) RecordGateRequest(code outcome.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_gate_requests_total{code=%q}`, code)).Inc()
 }
+
+// RecordTargetRequest records a request that is sent to the target.
+func (m *meter) RecordTargetRequest() {
+	m.set.GetOrCreateCounter("cuminwheel_target_requests_total").Inc()
+}
--- a/request/metadata/metadata.go
+++ b/request/metadata/metadata.go
@@ -31,4 +31,13 @@
 	Signed bool
 	// NotRun means that the target did not run the request.
 	NotRun bool
+	// HasRequestLimit means that the target takes at most RequestLimit requests per
+	// second from all nodes together, until one of its responses no longer says so.
+	HasRequestLimit bool
+	RequestLimit    float64
+	// Leaving means that the target leaves and must get no new requests.
+	Leaving bool
+	// InvalidNotice is the header value of a limit or of a leave that cannot be
+	// parsed, or "".
+	InvalidNotice string
 }
