--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -130,7 +130,7 @@
 	g.options.Headers.SetTargetHeaders(h, metadata.TargetRequest{
 		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService,
 	}, time.Now())
-	g.recordSent()
+	g.recordSent(gr)
 	resp, err := conn.Do(ctx, http1.Request{
 		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
 		// On a reused connection the response may be a late one to an earlier
@@ -201,9 +201,10 @@
 }
 
 // recordSent counts a request that is about to be sent to the target.
-func (g *Gate) recordSent() {
+func (g *Gate) recordSent(gr grant) {
 	g.options.Meter.RecordTargetRequest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	gr.run.isSent = true
 	g.target.sent++
 }
--- a/process/gate/stall.go
+++ b/process/gate/stall.go
@@ -10,6 +10,8 @@
 
 // run is the state of a granted request. Gate.mu guards it.
 type run struct {
+	// isSent means that the request was sent to the target.
+	isSent   bool
 	hasEnded bool
 	// isStalled means that the request has exceeded its stall limit.
 	isStalled bool
