gate, entry: keep a target to the request limit that it names

Cause: no node decoded the limit; gates admitted as many requests as there were slots. Ruled out with the new log lines: retries, hedges and trials, which are few.

Every request of the fleet passes the gate beside its target, so the gate keeps the count: a token bucket that all admissions share, first attempts, retries, hedges, trials and calls of targets alike. Requests that the limit does not admit in their time are refused at once as not run, with the time of the next admission, which the gate also reports to entries. One that no bucket could count as sent is refunded.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -124,6 +124,9 @@
 	// LastSuccessAt is when the target last completed a response that is not an
 	// error. It is zero if there has been none.
 	LastSuccessAt time.Time
+	// AdmitsAt is when the target's request limit admits the next request. It is zero
+	// if no limit delays one.
+	AdmitsAt time.Time
 }
 
 // Response is the metadata that a gate sends with a response.
@@ -145,6 +148,9 @@
 	if !r.State.LastSuccessAt.IsZero() {
 		b.WriteString(";a=" + formatMillis(now.Sub(r.State.LastSuccessAt)))
 	}
+	if r.State.AdmitsAt.After(now) {
+		b.WriteString(";w=" + formatMillis(r.State.AdmitsAt.Sub(now)))
+	}
 	if r.State.Accepting {
 		b.WriteString(";o=1")
 	}
@@ -182,6 +188,9 @@
 	if ms, err := strconv.ParseInt(params["a"], 10, 64); err == nil {
 		r.State.LastSuccessAt = now.Add(-time.Duration(ms) * time.Millisecond)
 	}
+	if ms, err := strconv.ParseInt(params["w"], 10, 64); err == nil {
+		r.State.AdmitsAt = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	code := outcome.Code(params["x"])
 	switch {
 	case code == "":
--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -71,6 +71,9 @@
 	sinceSuccess time.Duration
 	// stateAge is the time since the gate last reported its state.
 	stateAge time.Duration
+	// admitsAt is when the target's request limit admits the next request; zero if
+	// none is known.
+	admitsAt time.Time
 }
 
 // snapshot combines the last reported state with the entry's own requests in
@@ -85,6 +88,7 @@
 		s.suspected = c.state.Suspected
 		outstanding = max(outstanding, c.state.Outstanding)
 		slots = max(1, c.state.Slots)
+		s.admitsAt = c.state.AdmitsAt
 	} else if c.state.Slots > 0 {
 		slots = c.state.Slots
 	}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -121,7 +121,7 @@
 		}
 		latest := now.Add(p.queueTimeout(s.call.targetLatency(), s.call.deadline.Sub(now)))
 		isExcluded := func(i int) bool {
-			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest)
+			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest) || snapshots[i].admitsAt.After(latest)
 		}
 		i := p.selectGate(snapshots, isExcluded, requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}, rand.Float64)
 		if i < 0 {
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -101,7 +101,7 @@
 	if r.problem.Outcome == outcome.Unknown || r.problem.Code == outcome.CodeRetryBudget {
 		s.excluded[r.gate] = true
 	}
-	if r.problem.Code == outcome.CodeTargetFull {
+	if r.problem.Code == outcome.CodeTargetFull || r.problem.Code == outcome.CodeTargetLimited {
 		s.capacityAt[r.gate] = r.problem.RetryAt
 	}
 	return s.recordProblem(r.problem)
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -82,7 +82,7 @@
 		isTrial = true
 	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
-	if g.target.inFlight < g.target.announced.Slots && isNext {
+	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.limiter.canAdmit(now, g.target.inFlight) {
 		gr := g.takeSlot(req, now, isTrial)
 		g.mu.Unlock()
 		return gr, nil
@@ -90,12 +90,17 @@
 	if isTrial {
 		g.target.breaker.EndTrial()
 	}
+	if nextAt := g.target.limiter.nextAt(now, len(g.queue.waiters)); nextAt.After(req.QueueDeadline) {
+		g.mu.Unlock()
+		return grant{}, refuseLimited(nextAt)
+	}
 	wait := estimateWait(work, g.target.durations.all, g.target.announced.Slots)
 	if now.Add(wait).After(req.QueueDeadline) {
 		g.mu.Unlock()
 		return grant{}, refuseFull(wait, now)
 	}
 	w := g.queue.push(req)
+	g.wakeForLimit(now)
 	g.mu.Unlock()
 	return g.awaitDecision(ctx, w)
 }
@@ -141,6 +146,7 @@
 // holds mu.
 func (g *Gate) takeSlot(req hopheader.Request, now time.Time, isTrial bool) grant {
 	g.target.inFlight++
+	g.target.limiter.take()
 	switch {
 	case req.RetryCharged:
 	case req.IsRetry:
@@ -173,7 +179,7 @@
 	if g.target.breaker.IsSuspected(now) {
 		g.queue.refuseIf(func(hopheader.Request) *outcome.Problem { return g.refuseSuspected() })
 	}
-	for g.target.inFlight < g.target.announced.Slots {
+	for g.target.inFlight < g.target.announced.Slots && g.target.limiter.canAdmit(now, g.target.inFlight) {
 		w := g.queue.pop(g.queueOrder(now), func(req hopheader.Request) bool { return g.checkAdmissible(req, now) == nil })
 		if w == nil {
 			return
@@ -181,4 +187,26 @@
 		w.decisions <- decision{grant: g.takeSlot(w.request, now, false)}
 	}
 	g.queue.refuseHopeless(g.queueOrder(now), g.target.announced.Slots)
+	g.wakeForLimit(now)
+}
+
+// wakeForLimit arranges that waiters are dispatched when the target's limit admits the
+// next one. The caller holds mu.
+func (g *Gate) wakeForLimit(now time.Time) {
+	nextAt := g.target.limiter.nextAt(now, 0)
+	if nextAt.IsZero() || len(g.queue.waiters) == 0 || g.limitTimer != nil {
+		return
+	}
+	g.limitTimer = time.AfterFunc(nextAt.Sub(now), func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.limitTimer = nil
+		g.dispatchWaiters()
+	})
+}
+
+// refuseLimited returns the refusal of a request that the target's limit does not admit
+// in time.
+func refuseLimited(nextAt time.Time) *outcome.Problem {
+	return outcome.Refused(outcome.CodeTargetLimited, "the target's request limit is used up").WithRetryAt(nextAt)
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -64,6 +64,9 @@
 	retryBudget retryBudget
 	gateCount   int
 	isDraining  bool
+	// limitTimer dispatches waiters when the target's limit admits one; nil if it is
+	// not running.
+	limitTimer *time.Timer
 }
 
 // dialTimeout limits connecting to the target. It is short because the target is
@@ -188,6 +191,7 @@
 		Slots:       g.target.announced.Slots,
 
 		LastSuccessAt: g.target.breaker.LastSuccessAt(),
+		AdmitsAt:      g.target.limiter.nextAt(now, len(g.queue.waiters)),
 	}
 	if now.Before(g.target.announced.WarmupEndsAt) {
 		s.Outstanding += warmupPenalty
@@ -224,6 +228,9 @@
 	now := time.Now()
 	g.target.inFlight--
 	gr.run.hasEnded = true
+	if !gr.run.isSent && gr.instance == g.target.announced.Instance {
+		g.target.limiter.refund()
+	}
 	if gr.run.stallTimer != nil {
 		gr.run.stallTimer.Stop()
 	}
--- a/process/gate/limit_test.go
+++ b/process/gate/limit_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/matryer/is"
 )
 
 const (
@@ -96,3 +98,60 @@
 		}
 	}
 }
+
+// A limit must not cost more than it says: a target gets nearly all that its limit
+// allows, a changed limit applies at once, and one that has ended withholds nothing.
+func TestLimitIsUsedAndFollowed(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit func(elapsed time.Duration) (float64, bool)
+		// atLeast and atMost bound the requests between 10 s and 20 s.
+		atLeast, atMost int
+	}{
+		{"constant", func(time.Duration) (float64, bool) { return 3, true }, 27, 32},
+		{"raised", func(d time.Duration) (float64, bool) { return 1 + 4*float64(d/(10*time.Second)), true }, 40, 53},
+		{"lowered", func(d time.Duration) (float64, bool) { return 5 - 4*float64(d/(10*time.Second)), true }, 9, 13},
+		{"ended", func(d time.Duration) (float64, bool) { return 1, d < 9*time.Second }, 180, 250},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := openGate(t)
+				start := time.Now()
+				l := &limitedTarget{duration: 20 * time.Millisecond, limit: func(now time.Time) (float64, bool) { return test.limit(now.Sub(start)) }}
+				l.load(t, g, 20, 20*time.Second, 500*time.Millisecond)
+				n := 0
+				for _, a := range l.arrivals {
+					if d := a.Sub(start); d >= 10*time.Second && d < 20*time.Second {
+						n++
+					}
+				}
+				is.True(n >= test.atLeast)
+				is.True(n <= test.atMost)
+			})
+		})
+	}
+}
+
+// A refusal for the limit must say when to come back, and a request that was granted a
+// slot but not sent must not use up the limit.
+func TestUnsentRequestsAreRefunded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		l := &limitedTarget{limit: always(0.5)}
+		l.serve(t, g, requestWithin(0))
+		time.Sleep(2100 * time.Millisecond)
+		for range 3 {
+			gr, p := g.admit(t.Context(), requestWithin(0))
+			is.True(p == nil)
+			g.release(gr, resultInconclusive)
+		}
+		l.serve(t, g, requestWithin(0))
+		_, p := g.admit(t.Context(), requestWithin(0))
+		is.Equal(p.Code, outcome.CodeTargetLimited)
+		is.True(p.RetryAt.After(time.Now().Add(time.Second)))
+		is.True(g.State().AdmitsAt.After(time.Now().Add(time.Second)))
+	})
+}
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -1,15 +1,10 @@
 package gate
 
-import "github.com/cuminwheel/cuminwheel/request/metadata"
+import (
+	"time"
 
-// notices is what the current incarnation of the target has said about itself in its
-// responses. Gate.mu guards it.
-type notices struct {
-	hasLimit bool
-	// limit is in requests per second.
-	limit   float64
-	leaving bool
-}
+	"github.com/cuminwheel/cuminwheel/request/metadata"
+)
 
 // recordNotices records the limit and the leave that a response names.
 func (g *Gate) recordNotices(gr grant, id string, t metadata.TargetResponse) {
@@ -21,15 +16,15 @@
 	if gr.instance != g.target.announced.Instance {
 		return
 	}
-	n := &g.target.notices
-	if t.Leaving && !n.leaving {
-		n.leaving = true
+	if t.Leaving && !g.target.namedLeave {
+		g.target.namedLeave = true
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
 	}
-	if t.HasRequestLimit != n.hasLimit || t.RequestLimit != n.limit {
-		n.hasLimit, n.limit = t.HasRequestLimit, t.RequestLimit
+	l := &g.target.limiter
+	if l.observe(t, gr.startedAt, time.Now()) {
 		g.options.Logger.Info("request limit of the target changed", "request", id, "instance", gr.instance,
-			"limited", n.hasLimit, "per_second", n.limit, "sent", g.target.sent)
+			"limited", l.knowledge == limited, "per_second", l.perSecond, "sent", g.target.sent)
+		g.dispatchWaiters()
 	}
 }
 
@@ -38,5 +33,5 @@
 func (g *Gate) RequestLimit() (perSecond float64, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.target.notices.limit, g.target.notices.hasLimit
+	return g.target.limiter.perSecond, g.target.limiter.knowledge == limited
 }
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -28,7 +28,9 @@
 	lastSuccessStart time.Time
 	durations        durations
 	breaker          health.CircuitBreaker
-	notices          notices
+	limiter          limiter
+	// namedLeave means that a response of the incarnation has said that it leaves.
+	namedLeave bool
 	// sent counts the requests that the incarnation was sent.
 	sent int
 }
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -44,6 +44,9 @@
 	CodeTargetSuspected Code = "suspect"
 	// CodeTargetFull means that no slot becomes free soon enough.
 	CodeTargetFull Code = "full"
+	// CodeTargetLimited means that the target has named a request limit, which is used
+	// up.
+	CodeTargetLimited Code = "limited"
 	// CodeDeadlineExceeded means that the deadline passed before the request was
 	// run.
 	CodeDeadlineExceeded Code = "not_in_time"
