gate, entry, hopheader: a restarted gate learns the limit of its target again

A gate that restarted beside a limited target admitted a request for each slot until the first response, while the entries that had passed the limit on were bound by it.

A gate that started long after its target runs one request at a time, for two seconds at most, until an entry or a response tells.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -15,6 +15,7 @@
 package hopheader
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -64,6 +65,8 @@
 	Deadline time.Time
 	// QueueDeadline is when the request must have been granted a slot.
 	QueueDeadline time.Time
+	// Notice is what the entry remembers of the gate's target, if that restricts it.
+	Notice Notice
 }
 
 // Inject sets the metadata in h. Times are sent as the milliseconds that remain
@@ -86,6 +89,9 @@
 			b.WriteString(";" + f.name + "=1")
 		}
 	}
+	if r.Notice.IsKnown {
+		r.Notice.inject(&b)
+	}
 	h[headerField] = []string{b.String()}
 }
 
@@ -101,12 +107,17 @@
 	}
 	priority, _ := strconv.Atoi(params["p"]) // absent means 0
 	routeHash, _ := strconv.ParseUint(params["t"], 36, 32)
+	var notice Notice
+	if params["e"] != "" {
+		notice = extractNotice(params)
+	}
 	return Request{
 		Service: params["s"], CallerService: params["c"], Priority: priority, RouteHash: uint32(routeHash),
 		IsStateQuery: params["q"] != "", Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "",
 		SoftDeadline:  arrived.Add(time.Duration(softMillis) * time.Millisecond),
 		Deadline:      arrived.Add(time.Duration(deadlineMillis) * time.Millisecond),
 		QueueDeadline: arrived.Add(time.Duration(queueMillis) * time.Millisecond),
+		Notice:        notice,
 	}, nil
 }
 
@@ -127,6 +138,8 @@
 	// AdmitsAt is when the target's request limit admits the next request. It is zero
 	// if no limit delays one.
 	AdmitsAt time.Time
+	// Notice is what the target has said about itself.
+	Notice Notice
 }
 
 // Response is the metadata that a gate sends with a response.
@@ -151,6 +164,7 @@
 	if r.State.AdmitsAt.After(now) {
 		b.WriteString(";w=" + formatMillis(r.State.AdmitsAt.Sub(now)))
 	}
+	r.State.Notice.inject(&b)
 	if r.State.Accepting {
 		b.WriteString(";o=1")
 	}
@@ -191,6 +205,7 @@
 	if ms, err := strconv.ParseInt(params["w"], 10, 64); err == nil {
 		r.State.AdmitsAt = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	r.State.Notice = extractNotice(params)
 	code := outcome.Code(params["x"])
 	switch {
 	case code == "":
@@ -223,3 +238,60 @@
 
 // formatMillis formats d in milliseconds; a negative duration counts as 0.
 func formatMillis(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
+
+// Notice is what a target has said about itself in its responses. Gates report it to
+// entries, and entries return it with their requests, so that a gate that has
+// restarted learns it again from every entry that has passed it on.
+type Notice struct {
+	// IsKnown is false if the gate has not heard from the target since it started.
+	IsKnown bool
+	// Incarnation identifies the run of the target.
+	Incarnation uint32
+	// HasLimit means that the target takes at most Limit requests per second.
+	HasLimit bool
+	Limit    float64
+	// Leaving means that the target must get no new requests.
+	Leaving bool
+}
+
+// IsRestrictive reports whether the target must get fewer requests than its slots allow.
+func (n Notice) IsRestrictive() bool { return n.HasLimit || n.Leaving }
+
+// unknownLimit is the value of a limit that the gate does not know.
+const unknownLimit = "?"
+
+// inject writes the parameters of the notice. A notice without restrictions has none.
+func (n Notice) inject(b *strings.Builder) {
+	if n.IsKnown && !n.IsRestrictive() {
+		return
+	}
+	b.WriteString(";e=" + strconv.FormatUint(uint64(n.Incarnation), 36))
+	switch {
+	case !n.IsKnown:
+		b.WriteString(";l=" + unknownLimit)
+	case n.HasLimit:
+		b.WriteString(";l=" + strconv.FormatFloat(n.Limit, 'g', 6, 64))
+	}
+	if n.Leaving {
+		b.WriteString(";g=1")
+	}
+}
+
+// extractNotice reads the parameters that inject writes. A limit that cannot be parsed
+// counts as unknown.
+func extractNotice(params map[string]string) Notice {
+	incarnation, err := strconv.ParseUint(params["e"], 36, 32)
+	if err != nil {
+		return Notice{IsKnown: params["e"] == ""}
+	}
+	n := Notice{IsKnown: true, Incarnation: uint32(incarnation), Leaving: params["g"] != ""}
+	if text := params["l"]; text != "" {
+		limit, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(limit >= 0) || math.IsInf(limit, 0) {
+			n.IsKnown = false
+			return n
+		}
+		n.HasLimit, n.Limit = true, limit
+	}
+	return n
+}
--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -43,6 +43,8 @@
 	// centre, from 0.
 	rank int
 	pool *http1.Pool
+	// notices remembers what the gate's target has said about itself.
+	notices *notices
 	// ctx ends when the candidate is closed.
 	ctx   context.Context
 	close func()
@@ -125,6 +127,7 @@
 	defer c.mu.Unlock()
 	c.state, c.stateReceivedAt = s, now
 	c.unreachable = false
+	c.notices.record(c.address, s.Notice, now)
 }
 
 // markUnreachable records that the gate could not be reached. wasReachable
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -23,6 +23,7 @@
 	dataCentre string
 	region     string
 	bodies     *http1.BodyBudget
+	notices    *notices
 
 	mu sync.Mutex
 	// version is the version of nodes that the maps were built from.
@@ -32,7 +33,7 @@
 }
 
 func newDirectory(n NodeSource, dataCentre, region string, bodies *http1.BodyBudget) *directory {
-	return &directory{nodes: n, dataCentre: dataCentre, region: region, bodies: bodies}
+	return &directory{nodes: n, dataCentre: dataCentre, region: region, bodies: bodies, notices: newNotices()}
 }
 
 // candidates returns the gates of a service. It first rebuilds the directory if
@@ -83,7 +84,7 @@
 	pool, closePool := http1.NewPool(r.GateAddress, dialTimeouts[t])
 	pool.SetBodyBudget(d.bodies)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &candidate{node: r.ControlAddress, address: r.GateAddress, tier: t, pool: pool, ctx: ctx, close: func() {
+	return &candidate{node: r.ControlAddress, address: r.GateAddress, tier: t, pool: pool, notices: d.notices, ctx: ctx, close: func() {
 		cancel()
 		closePool()
 	}}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -158,6 +158,7 @@
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
 		SoftDeadline: c.in.ReceivedAt.Add(c.targetLatency()), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
+	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
 	to.startRequest()
 	var hedge sync.Once
--- a/process/entry/selection_test.go
+++ b/process/entry/selection_test.go
@@ -115,7 +115,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			c := &candidate{tier: test.tier}
+			c := &candidate{tier: test.tier, notices: newNotices()}
 			c.updateState(hopheader.GateState{Accepting: true, Suspected: true, Outstanding: 4, Slots: 2}, now.Add(-test.age))
 			s := c.snapshot(now)
 			is.Equal(s.suspected, test.suspected)
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -68,6 +68,7 @@
 func (g *Gate) admit(ctx context.Context, req hopheader.Request) (grant, *outcome.Problem) {
 	g.mu.Lock()
 	now := time.Now()
+	g.learnNotice(req.Notice, now)
 	if p := g.checkAdmissible(req, now); p != nil {
 		g.mu.Unlock()
 		return grant{}, p
@@ -82,7 +83,7 @@
 		isTrial = true
 	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
-	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.limiter.canAdmit(now, g.target.inFlight) {
+	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		gr := g.takeSlot(req, now, isTrial)
 		g.mu.Unlock()
 		return gr, nil
@@ -90,7 +91,7 @@
 	if isTrial {
 		g.target.breaker.EndTrial()
 	}
-	if nextAt := g.target.limiter.nextAt(now, len(g.queue.waiters)); nextAt.After(req.QueueDeadline) {
+	if nextAt := g.target.restrictions.limiter.nextAt(now, len(g.queue.waiters)); nextAt.After(req.QueueDeadline) {
 		g.mu.Unlock()
 		return grant{}, refuseLimited(nextAt)
 	}
@@ -146,7 +147,7 @@
 // holds mu.
 func (g *Gate) takeSlot(req hopheader.Request, now time.Time, isTrial bool) grant {
 	g.target.inFlight++
-	g.target.limiter.take()
+	g.target.restrictions.limiter.take(now)
 	switch {
 	case req.RetryCharged:
 	case req.IsRetry:
@@ -179,7 +180,7 @@
 	if g.target.breaker.IsSuspected(now) {
 		g.queue.refuseIf(func(hopheader.Request) *outcome.Problem { return g.refuseSuspected() })
 	}
-	for g.target.inFlight < g.target.announced.Slots && g.target.limiter.canAdmit(now, g.target.inFlight) {
+	for g.target.inFlight < g.target.announced.Slots && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		w := g.queue.pop(g.queueOrder(now), func(req hopheader.Request) bool { return g.checkAdmissible(req, now) == nil })
 		if w == nil {
 			return
@@ -193,7 +194,7 @@
 // wakeForLimit arranges that waiters are dispatched when the target's limit admits the
 // next one. The caller holds mu.
 func (g *Gate) wakeForLimit(now time.Time) {
-	nextAt := g.target.limiter.nextAt(now, 0)
+	nextAt := g.target.restrictions.limiter.nextAt(now, 0)
 	if nextAt.IsZero() || len(g.queue.waiters) == 0 || g.limitTimer != nil {
 		return
 	}
--- a/process/gate/announcement.go
+++ b/process/gate/announcement.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -28,6 +30,11 @@
 	WarmupEndsAt time.Time
 }
 
+// incarnation returns a hash that identifies the run of the target.
+func (a Announcement) incarnation() uint32 {
+	return uint32(xxhash.Sum64String(a.Instance + "/" + strconv.FormatInt(a.StartedAt.UnixMilli(), 36)))
+}
+
 // Deregistration is the message of a target that leaves for good.
 type Deregistration struct {
 	Instance string
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -57,6 +57,7 @@
 type Gate struct {
 	options     Options
 	targetConns *http1.Pool
+	startedAt   time.Time
 
 	mu          sync.Mutex
 	target      targetState
@@ -78,7 +79,7 @@
 func New(o Options) (*Gate, func()) {
 	pool, closePool := http1.NewPool(o.Address, dialTimeout)
 	pool.SetBodyBudget(o.Bodies)
-	g := &Gate{options: o, targetConns: pool, target: newTargetState(), gateCount: o.GateCount()}
+	g := &Gate{options: o, targetConns: pool, startedAt: time.Now(), target: newTargetState(), gateCount: o.GateCount()}
 	g.retryBudget.quota = g.computeRetryQuota()
 	g.retryBudget.tokens = g.retryBudget.quota.capacity
 	return g, closePool
@@ -105,6 +106,7 @@
 		return err
 	}
 	if changed {
+		g.questionLimit()
 		if previousInstance != a.Instance {
 			g.targetConns.CloseIdle()
 		}
@@ -191,7 +193,8 @@
 		Slots:       g.target.announced.Slots,
 
 		LastSuccessAt: g.target.breaker.LastSuccessAt(),
-		AdmitsAt:      g.target.limiter.nextAt(now, len(g.queue.waiters)),
+		AdmitsAt:      g.target.restrictions.limiter.nextAt(now, len(g.queue.waiters)),
+		Notice:        g.target.restrictions.notice(g.target.isKnown),
 	}
 	if now.Before(g.target.announced.WarmupEndsAt) {
 		s.Outstanding += warmupPenalty
@@ -229,7 +232,7 @@
 	g.target.inFlight--
 	gr.run.hasEnded = true
 	if !gr.run.isSent && gr.instance == g.target.announced.Instance {
-		g.target.limiter.refund()
+		g.target.restrictions.limiter.refund()
 	}
 	if gr.run.stallTimer != nil {
 		gr.run.stallTimer.Stop()
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -38,6 +38,8 @@
 		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
 		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, GateCount: func() int { return 12 }, ShutdownDeadline: func() time.Time { return time.Time{} },
 	})
+	// The targets of most tests have not been running before the gate.
+	g.startedAt = time.Time{}
 	return g
 }
 
--- a/process/gate/limiter.go
+++ b/process/gate/limiter.go
@@ -15,7 +15,7 @@
 	// limited means that the target has named a limit.
 	limited
 	// limitUnknown means that the target may have named a limit which the gate has
-	// not heard of. The target then runs one request at a time.
+	// not heard of. The target then runs one request at a time until it responds.
 	limitUnknown
 )
 
@@ -27,6 +27,8 @@
 	burstDuration = 500 * time.Millisecond
 	// limitTTL is how long a limit holds that no response repeats.
 	limitTTL = time.Minute
+	// maxProbation bounds the time for which a target runs one request at a time.
+	maxProbation = 2 * time.Second
 	// timerResolution is added to the time of the next token, so that a timer which
 	// fires then finds it complete.
 	timerResolution = time.Millisecond
@@ -42,6 +44,9 @@
 	namedAt    time.Time
 	tokens     float64
 	refilledAt time.Time
+	// probationEndsAt is when an unknown limit is taken to be none; zero until the
+	// target gets a request.
+	probationEndsAt time.Time
 }
 
 // capacity is the number of tokens that the bucket holds.
@@ -51,13 +56,16 @@
 
 // refill brings the bucket up to the given time, and ends a limit that is too old.
 func (l *limiter) refill(now time.Time) {
+	if l.knowledge == limitUnknown && !l.probationEndsAt.IsZero() && now.After(l.probationEndsAt) {
+		l.knowledge = unlimited
+	}
 	if l.knowledge != limited {
 		return
 	}
 	l.tokens = min(l.capacity(), l.tokens+l.perSecond*max(0, now.Sub(l.refilledAt).Seconds()))
 	l.refilledAt = now
 	if now.Sub(l.namedAt) > limitTTL {
-		l.knowledge = limitUnknown
+		l.knowledge, l.probationEndsAt = limitUnknown, time.Time{}
 	}
 }
 
@@ -104,7 +112,12 @@
 }
 
 // take counts an admitted request, refund one that was not sent after all.
-func (l *limiter) take() { l.tokens-- }
+func (l *limiter) take(now time.Time) {
+	l.tokens--
+	if l.probationEndsAt.IsZero() {
+		l.probationEndsAt = now.Add(maxProbation)
+	}
+}
 
 func (l *limiter) refund() { l.tokens = min(l.capacity(), l.tokens+1) }
 
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -3,9 +3,55 @@
 import (
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 )
 
+// restrictions holds what an incarnation of the target has said about itself in its
+// responses. Gate.mu guards it.
+type restrictions struct {
+	incarnation uint32
+	limiter     limiter
+	leaving     bool
+}
+
+// notice returns what entries are told, and return with their requests.
+func (r *restrictions) notice(isTargetKnown bool) hopheader.Notice {
+	if !isTargetKnown {
+		return hopheader.Notice{}
+	}
+	return hopheader.Notice{
+		IsKnown: r.limiter.knowledge != limitUnknown, Incarnation: r.incarnation,
+		HasLimit: r.limiter.knowledge == limited, Limit: r.limiter.perSecond, Leaving: r.leaving,
+	}
+}
+
+// namingGrace is how long after a target's first limit its requests may exceed it.
+// A gate that started less than this after its target hears of the limit in time.
+const namingGrace = 3 * time.Second
+
+// questionLimit makes the limit unknown if the target was running long before the gate
+// started, and nothing is known of it yet. The caller holds mu.
+func (g *Gate) questionLimit() {
+	l := &g.target.restrictions.limiter
+	if *l == (limiter{}) && g.target.announced.StartedAt.Before(g.startedAt.Add(-namingGrace)) {
+		l.knowledge = limitUnknown
+	}
+}
+
+// learnNotice applies what an entry remembers of the target, as far as the gate does not
+// know better. The caller holds mu.
+func (g *Gate) learnNotice(n hopheader.Notice, now time.Time) {
+	r := &g.target.restrictions
+	if !g.target.isKnown || !n.IsKnown || n.Incarnation != r.incarnation {
+		return
+	}
+	if n.HasLimit && r.limiter.knowledge == limitUnknown && r.limiter.name(n.Limit, now) {
+		g.options.Logger.Info("request limit of the target learned from an entry", "instance", g.target.announced.Instance,
+			"per_second", r.limiter.perSecond)
+	}
+}
+
 // recordNotices records the limit and the leave that a response names.
 func (g *Gate) recordNotices(gr grant, id string, t metadata.TargetResponse) {
 	if t.InvalidNotice != "" {
@@ -16,14 +62,14 @@
 	if gr.instance != g.target.announced.Instance {
 		return
 	}
-	if t.Leaving && !g.target.namedLeave {
-		g.target.namedLeave = true
+	r := &g.target.restrictions
+	if t.Leaving && !r.leaving {
+		r.leaving = true
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
 	}
-	l := &g.target.limiter
-	if l.observe(t, gr.startedAt, time.Now()) {
+	if r.limiter.observe(t, gr.startedAt, time.Now()) {
 		g.options.Logger.Info("request limit of the target changed", "request", id, "instance", gr.instance,
-			"limited", l.knowledge == limited, "per_second", l.perSecond, "sent", g.target.sent)
+			"limited", r.limiter.knowledge == limited, "per_second", r.limiter.perSecond, "sent", g.target.sent)
 		g.dispatchWaiters()
 	}
 }
@@ -33,5 +79,6 @@
 func (g *Gate) RequestLimit() (perSecond float64, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.target.limiter.perSecond, g.target.limiter.knowledge == limited
+	l := &g.target.restrictions.limiter
+	return l.perSecond, l.knowledge == limited
 }
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -28,15 +28,24 @@
 	lastSuccessStart time.Time
 	durations        durations
 	breaker          health.CircuitBreaker
-	limiter          limiter
-	// namedLeave means that a response of the incarnation has said that it leaves.
-	namedLeave bool
+	restrictions     restrictions
 	// sent counts the requests that the incarnation was sent.
 	sent int
 }
 
 func newTargetState() targetState { return targetState{durations: newDurations()} }
 
+// renewed returns the state of another incarnation, whose requests still share the
+// slots with those of the last one. Restrictions of the same incarnation go on.
+func (t *targetState) renewed(incarnation uint32) targetState {
+	s := newTargetState()
+	s.inFlight, s.restrictions = t.inFlight, t.restrictions
+	if incarnation != t.restrictions.incarnation {
+		s.restrictions = restrictions{incarnation: incarnation}
+	}
+	return s
+}
+
 // isOpen reports whether the target accepts requests.
 func (t *targetState) isOpen() bool { return t.isKnown && !t.hasDeregistered && !t.announced.Draining }
 
@@ -70,9 +79,7 @@
 			return false, ErrStale
 		}
 	}
-	inFlight := t.inFlight
-	*t = newTargetState()
-	t.inFlight = inFlight
+	*t = t.renewed(a.incarnation())
 	t.announced, t.isKnown, t.lastAnnouncedAt = a, true, now
 	return true, nil
 }
