gate: a target that names its leave in a response gets no new request

What breaks: a target says in all its responses that it leaves, and the requests that a node sends later than the drain time after it has passed one on still reach it, when the announcement of the drain was lost or has not come yet.

The gate takes the leave from a response as it takes an announcement: for good, for this incarnation, with queued requests refused at once. Entries remember it and return it with their requests, so that a restart of the gate does not forget it, and a response of another target at the address does not reopen it.

--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -14,7 +14,8 @@
 //   - unknown: no incarnation has announced itself yet, or a response has shown
 //     that another target uses the address;
 //   - open: the current incarnation accepts requests;
-//   - draining: it has announced that it accepts no more requests, for good;
+//   - draining: it has announced, or said in a response, that it accepts no more
+//     requests, for good;
 //   - deregistered: it has announced that it leaves for good.
 //
 // Only an open target gets requests. Independently of these states, a circuit
@@ -25,6 +26,11 @@
 // gate admits only requests that are expected to finish before the shutdown, and
 // none after Drain.
 //
+// A target in need names, in its responses, how many requests per second it takes from
+// all nodes together. The limiter counts every request that the target is sent, whatever
+// its kind. What a target has said about itself is reported to entries, which return it
+// with their requests, so that it outlives a restart of the gate (notice.go).
+//
 // # Requests
 //
 // Serve handles a request in these steps. admit refuses it, queues it or grants
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -145,11 +145,12 @@
 	g.dispatchWaiters()
 }
 
-// IsTargetLeaving reports whether the target is draining or has deregistered.
+// IsTargetLeaving reports whether the target is draining, has deregistered or has named
+// its leave in a response.
 func (g *Gate) IsTargetLeaving() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.target.isKnown && (g.target.hasDeregistered || g.target.announced.Draining)
+	return g.target.isKnown && g.target.isLeaving()
 }
 
 // InFlight returns the number of requests that run at the target.
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -46,6 +46,11 @@
 	if !g.target.isKnown || !n.IsKnown || n.Incarnation != r.incarnation {
 		return
 	}
+	if n.Leaving && !r.leaving {
+		r.leaving = true
+		g.options.Logger.Info("leave of the target learned from an entry", "instance", g.target.announced.Instance)
+		g.dispatchWaiters()
+	}
 	if n.HasLimit && r.limiter.knowledge == limitUnknown && r.limiter.name(n.Limit, now) {
 		g.options.Logger.Info("request limit of the target learned from an entry", "instance", g.target.announced.Instance,
 			"per_second", r.limiter.perSecond)
@@ -66,6 +71,7 @@
 	if t.Leaving && !r.leaving {
 		r.leaving = true
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
+		g.dispatchWaiters()
 	}
 	if r.limiter.observe(t, gr.startedAt, time.Now()) {
 		g.options.Logger.Info("request limit of the target changed", "request", id, "instance", gr.instance,
--- a/process/gate/notice_test.go
+++ b/process/gate/notice_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/matryer/is"
 )
 
@@ -76,3 +77,58 @@
 		}
 	})
 }
+
+// A target that names its leave in a response must get no new request, queued ones
+// included, until another incarnation announces itself: not after an announcement as
+// ready, a response of another target, or a restart of the gate.
+func TestTargetThatNamedItsLeaveGetsNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(t *testing.T, g *Gate) *Gate
+		want  bool // the target is admitted requests
+	}{
+		{"at once", func(_ *testing.T, g *Gate) *Gate { return g }, false},
+		{"announced as ready", func(t *testing.T, g *Gate) *Gate {
+			is.New(t).NoErr(g.Announce(announcement("i", 1000, 9)))
+			return g
+		}, false},
+		{"a response of another target", func(t *testing.T, g *Gate) *Gate {
+			g.resetTarget()
+			is.New(t).NoErr(g.Announce(announcement("i", 1000, 9)))
+			return g
+		}, false},
+		{"gate restarted", func(t *testing.T, _ *Gate) *Gate { return openGate(t) }, false},
+		{"another incarnation", func(t *testing.T, g *Gate) *Gate {
+			is.New(t).NoErr(g.Announce(announcement("i", 2000, 1)))
+			return g
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := openGate(t)
+				held := takeAllSlots(t, g)
+				refused := make(chan *outcome.Problem, 1)
+				go func() {
+					_, p := g.admit(t.Context(), requestWithin(5*time.Second))
+					refused <- p
+				}()
+				synctest.Wait()
+				g.recordNotices(held[0], "", metadata.TargetResponse{Signed: true, Leaving: true})
+				is.Equal((<-refused).Code, outcome.CodeDraining)
+				is.True(g.IsTargetLeaving())
+				remembered := g.State().Notice
+				for _, gr := range held {
+					g.release(gr, resultSuccess)
+				}
+				g = test.after(t, g)
+				req := requestWithin(0)
+				req.Notice = remembered
+				_, p := g.admit(t.Context(), req)
+				is.Equal(p == nil, test.want)
+				is.Equal(g.State().Accepting, test.want)
+			})
+		})
+	}
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -47,7 +47,13 @@
 }
 
 // isOpen reports whether the target accepts requests.
-func (t *targetState) isOpen() bool { return t.isKnown && !t.hasDeregistered && !t.announced.Draining }
+func (t *targetState) isOpen() bool { return t.isKnown && !t.isLeaving() }
+
+// isLeaving reports whether the target has announced that it leaves, or has said so in
+// a response.
+func (t *targetState) isLeaving() bool {
+	return t.hasDeregistered || t.announced.Draining || t.restrictions.leaving
+}
 
 // takeoverSilence is how long the current incarnation must have been silent
 // before one with an earlier start time may replace it. The target's clock may
