--- a/process/gate/limiter.go
+++ b/process/gate/limiter.go
@@ -38,6 +38,9 @@
 // requests of the fleet pass the gate, so the limit is kept by all nodes together.
 type limiter struct {
 	knowledge limitKnowledge
+	// isHeard means that a response has told the knowledge. Until then what entries
+	// remember counts.
+	isHeard bool
 	// perSecond is the limit.
 	perSecond float64
 	// namedAt is when a response or another node last named the limit.
@@ -65,7 +68,7 @@
 	l.tokens = min(l.capacity(), l.tokens+l.perSecond*max(0, now.Sub(l.refilledAt).Seconds()))
 	l.refilledAt = now
 	if now.Sub(l.namedAt) > limitTTL {
-		l.knowledge, l.probationEndsAt = limitUnknown, time.Time{}
+		l.knowledge, l.isHeard, l.probationEndsAt = limitUnknown, false, time.Time{}
 	}
 }
 
@@ -87,6 +90,7 @@
 func (l *limiter) observe(t metadata.TargetResponse, startedAt, now time.Time) (changed bool) {
 	switch {
 	case t.HasRequestLimit:
+		l.isHeard = true
 		return l.name(t.RequestLimit, now)
 	case !t.Signed || t.InvalidNotice != "":
 		return false
@@ -95,7 +99,7 @@
 		return false
 	}
 	changed = l.knowledge != unlimited
-	l.knowledge = unlimited
+	l.knowledge, l.isHeard = unlimited, true
 	return changed
 }
 
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -21,7 +21,7 @@
 		return hopheader.Notice{}
 	}
 	return hopheader.Notice{
-		IsKnown: r.limiter.knowledge != limitUnknown, Incarnation: r.incarnation,
+		IsKnown: r.limiter.isHeard, Incarnation: r.incarnation,
 		HasLimit: r.limiter.knowledge == limited, Limit: r.limiter.perSecond, Leaving: r.leaving,
 	}
 }
@@ -51,7 +51,7 @@
 		g.options.Logger.Info("leave of the target learned from an entry", "instance", g.target.announced.Instance)
 		g.dispatchWaiters()
 	}
-	if n.HasLimit && r.limiter.knowledge == limitUnknown && r.limiter.name(n.Limit, now) {
+	if n.HasLimit && !r.limiter.isHeard && r.limiter.name(n.Limit, now) {
 		g.options.Logger.Info("request limit of the target learned from an entry", "instance", g.target.announced.Instance,
 			"per_second", r.limiter.perSecond)
 	}
--- a/process/gate/notice_test.go
+++ b/process/gate/notice_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// A gate that has waited in vain for a response must still follow the entries.
+func TestEchoAfterProbationIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := restartedGate(t)
+		gr, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		defer g.release(gr, resultLost)
+		time.Sleep(maxProbation + time.Second)
+		req := requestWithin(0)
+		req.Notice = hopheader.Notice{IsKnown: true, Incarnation: g.State().Notice.Incarnation, HasLimit: true, Limit: 1}
+		_, p = g.admit(t.Context(), req)
+		is.True(p != nil)
+		is.Equal(p.Code, outcome.CodeTargetLimited)
+	})
+}
+
 // What an entry remembers of an earlier incarnation must not restrict the current one,
 // nor override what the target itself has said since.
 func TestStaleEchoIsIgnored(t *testing.T) {
