gate, quarantine: log which requests a target crashes under

Entries log a fingerprint of each request. A gate that loses a connection checks whether the target still accepts connections: a gray one resets single requests, one that has crashed refuses. It reuses an idle connection for that, or opens one that the next request uses. The evidence goes into a table; no decision uses it yet.

--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -109,6 +110,29 @@
 	}
 }
 
+// CheckPeer reports whether the peer accepts connections. It opens one, which is kept
+// for reuse, unless an idle one is still open. An error other than a refusal does not
+// mean that the peer has ended.
+func (p *Pool) CheckPeer(ctx context.Context) (accepts bool, err error) {
+	if p.hasOpenIdle() {
+		return true, nil
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED), err
+	}
+	c.reusable = true
+	p.Put(c)
+	return true, nil
+}
+
+// hasOpenIdle reports whether the peer keeps an idle connection open.
+func (p *Pool) hasOpenIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, (*Conn).isIdle)
+}
+
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) popIdle() *Conn {
 	p.mu.Lock()
@@ -130,7 +154,7 @@
 	}
 	conn, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, &dialError{err}
 	}
 	input := &limitedReader{reader: conn, remaining: unlimited, errExceeded: errResponseTooLarge}
 	return &Conn{
@@ -142,6 +166,12 @@
 	}, nil
 }
 
+// dialError is an ErrNotSent because no connection could be opened.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string   { return e.cause.Error() + ": " + ErrNotSent.Error() }
+func (e *dialError) Unwrap() []error { return []error{ErrNotSent, e.cause} }
+
 // setUnackedTimeout sets TCP_USER_TIMEOUT, which makes a connection fail when sent
 // data stays unacknowledged for too long.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -89,6 +90,7 @@
 	in                   *http1.IncomingRequest
 	header               http.Header
 	body                 []byte
+	fingerprint          fingerprint.Fingerprint
 	configurationVersion uint64
 	route                configuration.Route
 	service              string
@@ -145,7 +147,7 @@
 	}
 	e.options.Meter.RecordEntryRequest(c.route.Name, code, now.Sub(in.ReceivedAt))
 	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service,
-		"configuration", c.configurationVersion, "status", resp.Status, "code", code, "asked", attempts,
+		"configuration", c.configurationVersion, "fingerprint", c.fingerprint, "status", resp.Status, "code", code, "asked", attempts,
 		"took_ms", now.Sub(in.ReceivedAt).Milliseconds(), "left_ms", c.deadline.Sub(now).Milliseconds())
 	return resp
 }
@@ -160,6 +162,7 @@
 		return c, outcome.Refused(outcome.CodeCallerDisconnected, "the body did not come: %v", err)
 	}
 	c.body = body
+	c.fingerprint = fingerprint.Of(in.Method, in.Host, in.URI, body)
 	current := e.awaitConfiguration(ctx)
 	c.configurationVersion = current.Version
 	if current.Version == 0 {
--- a/process/entry/probe_test.go
+++ b/process/entry/probe_test.go
@@ -10,6 +10,7 @@
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/hashicorp/go-hclog"
@@ -43,7 +44,7 @@
 	is.True(c.snapshot(time.Now()).unreachable)
 
 	g, closeGate := gate.New(gate.Options{
-		Service: "s", Headers: stubGateHeaders{}, Meter: discardGateMeter{}, Logger: hclog.NewNullLogger(), GateCount: func() int { return 1 }, ShutdownDeadline: func() time.Time { return time.Time{} },
+		Service: "s", Headers: stubGateHeaders{}, Meter: discardGateMeter{}, Quarantine: quarantine.NewTable(hclog.NewNullLogger()), Logger: hclog.NewNullLogger(), GateCount: func() int { return 1 }, ShutdownDeadline: func() time.Time { return time.Time{} },
 	})
 	defer closeGate()
 	_, closeListener, err := http1.Listen(address, g.Serve, func() http1.Limits { return limits }, hclog.NewNullLogger())
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -57,6 +57,8 @@
 type grant struct {
 	startedAt time.Time
 	instance  string
+	// identity is that of the target's incarnation.
+	identity  uint64
 	routeHash uint32
 	isTrial   bool
 	run       *run
@@ -155,7 +157,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
+	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.announced.identity(), routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/announcement.go
+++ b/process/gate/announcement.go
@@ -30,11 +30,14 @@
 	WarmupEndsAt time.Time
 }
 
-// incarnation returns a hash that identifies the run of the target.
-func (a Announcement) incarnation() uint32 {
-	return uint32(xxhash.Sum64String(a.Instance + "/" + strconv.FormatInt(a.StartedAt.UnixMilli(), 36)))
+// identity returns a hash that identifies the run of the target in the fleet.
+func (a Announcement) identity() uint64 {
+	return xxhash.Sum64String(a.Instance + "/" + strconv.FormatInt(a.StartedAt.UnixMilli(), 36) + "/" + a.Address)
 }
 
+// incarnation returns a short hash that identifies the run of the target at its address.
+func (a Announcement) incarnation() uint32 { return uint32(a.identity()) }
+
 // Deregistration is the message of a target that leaves for good.
 type Deregistration struct {
 	Instance string
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/hashicorp/go-hclog"
@@ -30,6 +31,13 @@
 	RecordTargetRequest()
 }
 
+// Quarantine holds the evidence against requests that crash targets.
+type Quarantine interface {
+	// RecordCrash records that an incarnation of a target crashed while it ran the
+	// requests.
+	RecordCrash(incarnation uint64, requests []fingerprint.Fingerprint, now time.Time)
+}
+
 // Options holds the settings and dependencies of a gate.
 type Options struct {
 	// Service and Address are those of the target beside the node.
@@ -38,6 +46,8 @@
 	Headers Headers
 	Logger  hclog.Logger
 	Meter   Meter
+	// Quarantine gets the requests under which the target has crashed.
+	Quarantine Quarantine
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// RetryRatio, RetrySlack and RetryWindow are the fleet-wide retry limit:
@@ -68,6 +78,10 @@
 	// limitTimer dispatches waiters when the target's limit admits one; nil if it is
 	// not running.
 	limitTimer *time.Timer
+	// losses holds the requests whose connections have ended since the last check for a
+	// crash; isCheckingCrash means that a goroutine checks them.
+	losses          []loss
+	isCheckingCrash bool
 }
 
 // dialTimeout limits connecting to the target. It is short because the target is
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/hashicorp/go-hclog"
@@ -35,7 +36,7 @@
 
 func newGate() *Gate {
 	g, _ := New(Options{
-		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
+		Service: "s", Address: address, Headers: noHeaders{}, Logger: hclog.NewNullLogger(), Meter: noMeter{}, Quarantine: quarantine.NewTable(hclog.NewNullLogger()),
 		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, GateCount: func() int { return 12 }, ShutdownDeadline: func() time.Time { return time.Time{} },
 	})
 	// The targets of most tests have not been running before the gate.
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
@@ -73,9 +74,13 @@
 	if err != nil {
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
+	request := fingerprint.Of(in.Method, in.Host, in.URI, body)
 	g.watchForStall(gr, req, time.Now(), func(charged bool) { g.reportStall(in, gr, id, charged) })
 	resp, res, problem := g.forward(ctx, in, req, gr, id, body)
 	finalResult = res
+	if problem != nil && isConnectionLoss(problem.Code) {
+		g.suspectCrash(gr, request)
+	}
 	if res.causesRetry(req) && !g.hasStalled(gr) {
 		retryCharged = g.chargeRetry(req)
 	}
@@ -83,6 +88,12 @@
 	return resp, retryCharged, problem
 }
 
+// isConnectionLoss reports whether a request failed because its connection to the target
+// ended.
+func isConnectionLoss(c outcome.Code) bool {
+	return c == outcome.CodeTargetFailed || c == outcome.CodeResponseTruncated
+}
+
 // causesRetry reports whether the entry will send the request to another
 // target after this result.
 func (r result) causesRetry(req hopheader.Request) bool {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/cuminwheel/cuminwheel/process/follower"
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
@@ -66,6 +67,8 @@
 	view          *membership.View
 	gossiper      *membership.Gossiper
 	gate          *gate.Gate
+	// quarantine holds the requests that crash targets.
+	quarantine *quarantine.Table
 	// bodies is the budget for all bodies that the entry and the gate hold.
 	bodies *http1.BodyBudget
 
@@ -115,10 +118,11 @@
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, pool, n.logger.Named("roster"))
 
+	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
-		Meter: n.meter, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: func() int { return n.view.CountOf(s.Service) }, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.gate = g
--- /dev/null
+++ b/process/quarantine/doc.go
@@ -0,0 +1,20 @@
+// Package quarantine finds the requests that crash the targets which run them, so that
+// no node sends them to further targets.
+//
+// A gate that loses the connection to its target checks whether the target still
+// accepts connections. A gray target does: it resets single requests. If it does not,
+// all requests that it ran are recorded with the incarnation that has ended. The same
+// request may come again at any node, so a Table holds this evidence by the request's
+// fingerprint, and nodes exchange it (package membership). Each node then decides by
+// itself, with the same result: a request under which Threshold incarnations have
+// crashed is refused.
+//
+// A crash also takes requests along that are not its cause. One success at any target
+// clears a request, since one that crashes targets never succeeds.
+//
+// Tables only grow by union: the incarnations under a request, and whether it is
+// cleared. The order in which nodes hear of evidence therefore does not matter. A record
+// is forgotten Retention after its last crash, and a full table drops the records with
+// the fewest crashes first. Messages carry the time that is left, since the clocks of
+// nodes differ.
+package quarantine
