--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -94,6 +94,24 @@
 }
 
 func (f *fleet) addVM() *vm {
+	t := f.t
+	v := f.addVMWithTarget(func(v *vm) {
+		v.target = target.New(fmt.Sprintf("i%d", len(f.vms)), "s", 3, 10*time.Millisecond, f.executions)
+		server := httptest.NewServer(v.target.Handler())
+		t.Cleanup(server.Close)
+		v.settings.Target = strings.TrimPrefix(server.URL, "http://")
+	})
+	v.announcer = &target.Announcer{
+		AdminAddress: v.settings.Admin, Instance: v.target.Instance, Service: "s", Address: v.settings.Target, Slots: 3, StartedAt: time.Now(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go v.announcer.Run(ctx)
+	return v
+}
+
+// addVMWithTarget adds a VM with a running node. prepare sets the address of its target.
+func (f *fleet) addVMWithTarget(prepare func(*vm)) *vm {
 	t := f.t
 	i := vmCount.Add(1)
 	if i > 254 {
@@ -104,19 +122,9 @@
 		Entry: address(0), Gate: address(1), Control: address(2), Ready: address(3), Admin: address(4), Metrics: address(5), Region: "r", DataCentre: "d", Service: "s", Store: f.storeAddress, GracePeriod: 6 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second,
 	}
-	v := &vm{}
-	v.target = target.New(fmt.Sprintf("i%d", len(f.vms)), "s", 3, 10*time.Millisecond, f.executions)
-	server := httptest.NewServer(v.target.Handler())
-	t.Cleanup(server.Close)
-	s.Target = strings.TrimPrefix(server.URL, "http://")
-	v.settings = s
-	v.announcer = &target.Announcer{
-		AdminAddress: s.Admin, Instance: v.target.Instance, Service: "s", Address: s.Target, Slots: 3, StartedAt: time.Now(),
-	}
+	v := &vm{settings: s}
+	prepare(v)
 	f.startNode(v)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go v.announcer.Run(ctx)
 	f.vms = append(f.vms, v)
 	return v
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,9 @@
 	headerInstanceID       = "Cuminwheel-Instance-Id"
 )
 
+// CrashPath is the end of the path of the requests that crash the stand-in.
+const CrashPath = "/crash"
+
 // Server is the stand-in for a target. Use New to create one.
 type Server struct {
 	// Instance is the ID of this process of the target.
@@ -61,6 +65,9 @@
 	faults Faults
 	// drainConfirmedAt is when the node confirmed that the target drains, or zero.
 	drainConfirmedAt time.Time
+	// OnCrash, if not nil, is called when a request whose path ends with CrashPath has
+	// begun to run. It should end the target as a crash does.
+	OnCrash func()
 	// executions gets a line with the ID of each request that starts to run.
 	executions io.Writer
 }
@@ -142,6 +149,10 @@
 		return
 	}
 	s.recordExecution(id)
+	if s.OnCrash != nil && strings.HasSuffix(r.URL.Path, CrashPath) {
+		s.OnCrash()
+		return
+	}
 	if !s.doWork(ctx, f) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
