quarantine, gate, entry, membership: give up a request that crashes targets

Cause: nothing outlived a request. A gate blamed the target, an entry limited the targets of one attempt, and the next node started from zero. Ruled out: the retry budget, which was kept; with one retry each, 12 requests are enough for 24 crashes.

Gates record, by fingerprint, the requests that ran when their target ended. Nodes exchange this evidence: changes are pushed at once to random nodes of all regions, and comparisons repair what pushes miss, also for a node that has restarted. Entries and gates refuse a request under which three incarnations have crashed, at once and as not run, with the time when it may come back; hedges and retries are refused as well. One success clears a request, since others are lost with a crash that they did not cause.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -113,6 +113,10 @@
 		if s.call.deadline.Sub(now) < p.minRemaining {
 			return false
 		}
+		if until := e.options.Quarantine.QuarantinedUntil(s.call.fingerprint, now); !until.IsZero() {
+			s.lastProblem = outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
+			return true
+		}
 		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= maxGateAttempts {
 			return true
 		}
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -141,7 +141,7 @@
 	if p.Code == outcome.CodeRetryBudget {
 		s.retryBudgetRefusals++
 	}
-	return s.targetAttempts+s.inFlight < s.call.route.MaxAttempts && s.retryBudgetRefusals < maxRetryBudgetRefusals
+	return p.Code != outcome.CodeQuarantined && s.targetAttempts+s.inFlight < s.call.route.MaxAttempts && s.retryBudgetRefusals < maxRetryBudgetRefusals
 }
 
 // finalProblem returns the problem to report to the caller when there is no
@@ -152,6 +152,8 @@
 	switch {
 	case s.lastUnknown != nil:
 		return s.lastUnknown
+	case s.lastProblem != nil && s.lastProblem.Code == outcome.CodeQuarantined:
+		return s.lastProblem
 	case s.lastProblem != nil:
 		retryAt := s.retryAt
 		if latest := now.Add(maxRetryAfter); retryAt.After(latest) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -48,6 +48,12 @@
 	RecordGateAttempt(tier string, code outcome.Code)
 }
 
+// Quarantine knows the requests that crash targets.
+type Quarantine interface {
+	// QuarantinedUntil returns until when a request must not be run, or zero.
+	QuarantinedUntil(request fingerprint.Fingerprint, now time.Time) time.Time
+}
+
 // Options configures an Entry.
 type Options struct {
 	// Service is the service of the VM on which the entry runs.
@@ -59,6 +65,7 @@
 	Headers        Headers
 	Logger         hclog.Logger
 	Meter          Meter
+	Quarantine     Quarantine
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// ShutdownDeadline returns when requests in progress at a leaving node must
--- a/process/entry/fakes_test.go
+++ b/process/entry/fakes_test.go
@@ -10,6 +10,7 @@
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -173,7 +174,7 @@
 		[]configuration.Route{route("read", true), route("claim", false)})
 	e, closeEntry := New(Options{
 		Service: "caller", DataCentre: "here", Region: "r", Nodes: nodes, Configurations: staticConfiguration{c},
-		Headers: stubHeaders{}, Logger: hclog.NewNullLogger(), Meter: discardMeter{},
+		Headers: stubHeaders{}, Logger: hclog.NewNullLogger(), Meter: discardMeter{}, Quarantine: quarantine.NewTable(hclog.NewNullLogger()),
 		ShutdownDeadline: func() time.Time { return time.Time{} },
 	})
 	t.Cleanup(closeEntry)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -36,6 +36,10 @@
 	// RecordCrash records that an incarnation of a target crashed while it ran the
 	// requests.
 	RecordCrash(incarnation uint64, requests []fingerprint.Fingerprint, now time.Time)
+	// RecordSuccess records that the target has completed a request.
+	RecordSuccess(request fingerprint.Fingerprint, now time.Time)
+	// QuarantinedUntil returns until when a request must not be run, or zero.
+	QuarantinedUntil(request fingerprint.Fingerprint, now time.Time) time.Time
 }
 
 // Options holds the settings and dependencies of a gate.
@@ -46,7 +50,8 @@
 	Headers Headers
 	Logger  hclog.Logger
 	Meter   Meter
-	// Quarantine gets the requests under which the target has crashed.
+	// Quarantine gets the requests under which the target has crashed and says which
+	// must not be run.
 	Quarantine Quarantine
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -75,12 +75,19 @@
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
 	request := fingerprint.Of(in.Method, in.Host, in.URI, body)
+	if until := g.options.Quarantine.QuarantinedUntil(request, time.Now()); !until.IsZero() {
+		g.options.Logger.Warn("request refused", "request", id, "reason", outcome.CodeQuarantined, "fingerprint", request)
+		return nil, false, outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
+	}
 	g.watchForStall(gr, req, time.Now(), func(charged bool) { g.reportStall(in, gr, id, charged) })
 	resp, res, problem := g.forward(ctx, in, req, gr, id, body)
 	finalResult = res
 	if problem != nil && isConnectionLoss(problem.Code) {
 		g.suspectCrash(gr, request)
 	}
+	if res == resultSuccess {
+		g.options.Quarantine.RecordSuccess(request, time.Now())
+	}
 	if res.causesRetry(req) && !g.hasStalled(gr) {
 		retryCharged = g.chargeRetry(req)
 	}
--- a/process/membership/buckets_test.go
+++ b/process/membership/buckets_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -23,7 +24,7 @@
 		for i := range gossipers {
 			v := NewView(all[i])
 			v.Merge(all)
-			gossipers[i] = NewGossiper(v, &fakeConfigurations{changed: make(chan struct{})}, f, hclog.NewNullLogger())
+			gossipers[i] = NewGossiper(v, &fakeConfigurations{changed: make(chan struct{})}, quarantine.NewTable(hclog.NewNullLogger()), f, hclog.NewNullLogger())
 			f.receivers[all[i].ControlAddress] = NewReceiver(gossipers[i])
 		}
 		changed := rapid.SliceOfN(rapid.IntRange(2, nodes-1), 1, 5).Draw(t, "changed")
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -23,6 +24,17 @@
 	Changed() <-chan struct{}
 }
 
+// Evidence is what the node knows of requests that crash targets. Gossip spreads it, so
+// that every node refuses them.
+type Evidence interface {
+	// Updates delivers the records that should be spread.
+	Updates() <-chan []quarantine.Record
+	// Digest returns a hash that is equal for equal evidence.
+	Digest(now time.Time) uint64
+	Records(now time.Time) []quarantine.Record
+	Merge(records []quarantine.Record, now time.Time)
+}
+
 // Transport calls a method of another node.
 type Transport interface {
 	Call(ctx context.Context, address, method string, args, reply any) error
@@ -58,6 +70,7 @@
 type Gossiper struct {
 	view           *View
 	configurations Configurations
+	evidence       Evidence
 	transport      Transport
 	logger         hclog.Logger
 	// pushQueue holds updates until Run pushes them.
@@ -80,8 +93,8 @@
 }
 
 // NewGossiper returns a gossiper for the records of a view.
-func NewGossiper(v *View, c Configurations, t Transport, logger hclog.Logger) *Gossiper {
-	return &Gossiper{view: v, configurations: c, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1)}
+func NewGossiper(v *View, c Configurations, e Evidence, t Transport, logger hclog.Logger) *Gossiper {
+	return &Gossiper{view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1)}
 }
 
 // Run pushes updates, advertises configurations and compares views until ctx
@@ -96,6 +109,8 @@
 			return
 		case updates := <-g.pushQueue:
 			g.push(ctx, updates)
+		case records := <-g.evidence.Updates():
+			g.pushEvidence(ctx, records)
 		case <-changed:
 			version, _ := g.configurations.Newest()
 			g.advertiseVersion(ctx, version)
@@ -174,6 +189,35 @@
 	}
 }
 
+// pushEvidence sends records, together with all that are queued, to a few random nodes
+// of any region: a request that crashes targets may come again anywhere.
+func (g *Gossiper) pushEvidence(ctx context.Context, records []quarantine.Record) {
+	for more := true; more; {
+		select {
+		case queued := <-g.evidence.Updates():
+			records = append(records, queued...)
+		default:
+			more = false
+		}
+	}
+	nodes := g.view.Nodes()
+	for range fanout {
+		if peer := nodes[rand.IntN(len(nodes))]; peer.ControlAddress != g.self() {
+			go g.call(ctx, peer, methodTell, Message{Sender: g.self(), Evidence: records}, &Message{})
+		}
+	}
+}
+
+// compareEvidence completes a comparison: the peer has sent its evidence if that
+// differs, and gets the own one if it lacks some of it.
+func (g *Gossiper) compareEvidence(ctx context.Context, peer Record, reply Message) {
+	now := time.Now()
+	g.evidence.Merge(reply.Evidence, now)
+	if g.evidence.Digest(now) != reply.EvidenceDigest {
+		g.call(ctx, peer, methodTell, Message{Sender: g.self(), Evidence: g.evidence.Records(now)}, &Message{})
+	}
+}
+
 // PushAndWait sends a record to a few random nodes and waits for their replies.
 func (g *Gossiper) PushAndWait(ctx context.Context, r Record) {
 	done := make(chan struct{}, fanout)
@@ -202,12 +246,14 @@
 // differ.
 func (g *Gossiper) compareWith(ctx context.Context, peer Record) {
 	request := Message{Sender: g.self(), Digest: g.view.Digest()}
+	request.EvidenceDigest = g.evidence.Digest(time.Now())
 	request.ConfigurationVersion, request.ConfigurationHolder = g.newestKnownVersion()
 	var reply Message
 	if !g.call(ctx, peer, methodCompare, request, &reply) {
 		return
 	}
 	g.recordRemoteVersion(cmp.Or(reply.ConfigurationHolder, peer.ControlAddress), reply.ConfigurationVersion)
+	g.compareEvidence(ctx, peer, reply)
 	if len(reply.BucketDigests) == 0 {
 		return
 	}
--- a/process/membership/gossip_test.go
+++ b/process/membership/gossip_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -85,7 +86,7 @@
 	c := &fakeConfigurations{changed: make(chan struct{})}
 	v := NewView(self)
 	v.Merge(known)
-	g := NewGossiper(v, c, f, hclog.NewNullLogger())
+	g := NewGossiper(v, c, quarantine.NewTable(hclog.NewNullLogger()), f, hclog.NewNullLogger())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.receivers[self.ControlAddress], f.configurations[self.ControlAddress], f.views[self.ControlAddress] = NewReceiver(g), c, v
--- a/process/membership/message.go
+++ b/process/membership/message.go
@@ -1,5 +1,7 @@
 package membership
 
+import "github.com/cuminwheel/cuminwheel/process/quarantine"
+
 // Message is the argument and the reply of all calls between nodes. Its names on
 // the wire are short, since each node compares once a second and traffic between
 // regions is billed.
@@ -22,6 +24,10 @@
 	// wants in the reply.
 	WantedBuckets []int `codec:"w,omitempty"`
 	BucketCount   int   `codec:"n,omitempty"`
+	// EvidenceDigest is the digest of the sender's evidence against requests that crash
+	// targets; Evidence holds records that the other node may lack.
+	EvidenceDigest uint64              `codec:"y,omitempty"`
+	Evidence       []quarantine.Record `codec:"x,omitempty"`
 	// Configuration is encoded and compressed.
 	Configuration []byte `codec:"c,omitempty"`
 }
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -1,6 +1,9 @@
 package membership
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Receiver serves the calls of other nodes.
 type Receiver struct{ gossiper *Gossiper }
@@ -15,6 +18,11 @@
 	g := r.gossiper
 	g.recordRemoteVersion(cmp.Or(request.ConfigurationHolder, request.Sender), request.ConfigurationVersion)
 	reply.ConfigurationVersion, reply.ConfigurationHolder = g.newestKnownVersion()
+	now := time.Now()
+	reply.EvidenceDigest = g.evidence.Digest(now)
+	if request.EvidenceDigest != reply.EvidenceDigest {
+		reply.Evidence = g.evidence.Records(now)
+	}
 	reply.Digest = g.view.Digest()
 	if request.Digest != reply.Digest {
 		reply.BucketDigests = g.view.BucketDigests(bucketCount(g.view.Len()))
@@ -28,6 +36,7 @@
 	g := r.gossiper
 	wanted := g.view.RecordsInBuckets(request.WantedBuckets, request.BucketCount)
 	g.Merge(request.Records)
+	g.evidence.Merge(request.Evidence, time.Now())
 	reply.Records = wanted
 	return nil
 }
--- a/process/node/crash_test.go
+++ b/process/node/crash_test.go
@@ -114,15 +114,13 @@
 }
 
 // get sends a request to a node's entry and returns the status and Retry-After.
-func get(t *testing.T, v *vm, path, id string) (status int, retryAfter string) {
+func get(t *testing.T, v *vm, path string) (status int, retryAfter string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+v.settings.Entry+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h"
-	req.Header.Set("Cuminwheel-Request-Id", id)
-	req.Header.Set("Cuminwheel-Deadline-Ms", "1000")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
@@ -141,7 +139,7 @@
 	)
 	f, crashes := startCrashFleet(t, 6)
 	for i := range 30 {
-		get(t, f.vms[i%len(f.vms)], "/read"+target.CrashPath, fmt.Sprintf("c%d", i))
+		get(t, f.vms[i%len(f.vms)], "/read"+target.CrashPath)
 		time.Sleep(150 * time.Millisecond)
 	}
 	more, total := crashes.after(spreadTime)
@@ -151,12 +149,12 @@
 	time.Sleep(2 * crashRestartDelay)
 	served := 0
 	for i := range 30 {
-		if status, _ := get(t, f.vms[i%len(f.vms)], "/read/today", fmt.Sprintf("s%d", i)); status == http.StatusOK {
+		if status, _ := get(t, f.vms[i%len(f.vms)], "/read/today"); status == http.StatusOK {
 			served++
 		}
 	}
 	is.True(served >= 28)
-	status, retryAfter := get(t, f.vms[0], "/read"+target.CrashPath, "last")
+	status, retryAfter := get(t, f.vms[0], "/read"+target.CrashPath)
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(retryAfter != "")
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -114,11 +114,11 @@
 		ControlAddress: cmp.Or(s.AdvertisedControl, s.Control), GateAddress: cmp.Or(s.AdvertisedGate, s.Gate), Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: time.Now().UnixMilli(),
 	})
+	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
-	n.gossiper = membership.NewGossiper(n.view, n.configuration, pool, n.logger.Named("roster"))
+	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster"))
 
-	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
@@ -129,7 +129,7 @@
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
-		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
+		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -47,6 +47,8 @@
 	// CodeTargetLimited means that the target has named a request limit, which is used
 	// up.
 	CodeTargetLimited Code = "limited"
+	// CodeQuarantined means that the request has crashed several targets.
+	CodeQuarantined Code = "quarantined"
 	// CodeDeadlineExceeded means that the deadline passed before the request was
 	// run.
 	CodeDeadlineExceeded Code = "not_in_time"
