gate: hash the identity of an incarnation once, not for each request

No change for callers. What is known of a target is compared by the identity of its incarnation, since a target may restart under the same name.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -157,7 +157,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.announced.identity(), routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
+	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/announcement.go
+++ b/process/gate/announcement.go
@@ -35,9 +35,6 @@
 	return xxhash.Sum64String(a.Instance + "/" + strconv.FormatInt(a.StartedAt.UnixMilli(), 36) + "/" + a.Address)
 }
 
-// incarnation returns a short hash that identifies the run of the target at its address.
-func (a Announcement) incarnation() uint32 { return uint32(a.identity()) }
-
 // Deregistration is the message of a target that leaves for good.
 type Deregistration struct {
 	Instance string
--- a/process/gate/crash.go
+++ b/process/gate/crash.go
@@ -45,7 +45,7 @@
 		g.mu.Lock()
 		losses := g.losses
 		g.losses = nil
-		identity := g.target.announced.identity()
+		identity := g.target.restrictions.identity
 		g.isCheckingCrash = len(losses) > 0
 		g.mu.Unlock()
 		if len(losses) == 0 {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -251,7 +251,7 @@
 	now := time.Now()
 	g.target.inFlight--
 	gr.run.hasEnded = true
-	if !gr.run.isSent && gr.instance == g.target.announced.Instance {
+	if !gr.run.isSent && gr.identity == g.target.restrictions.identity {
 		g.target.restrictions.limiter.refund()
 	}
 	if gr.run.stallTimer != nil {
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -10,18 +10,22 @@
 // restrictions holds what an incarnation of the target has said about itself in its
 // responses. Gate.mu guards it.
 type restrictions struct {
-	incarnation uint32
-	limiter     limiter
-	leaving     bool
+	// identity is that of the incarnation, see Announcement.identity.
+	identity uint64
+	limiter  limiter
+	leaving  bool
 }
 
+// incarnation identifies the incarnation among those at the gate's address, in few bytes.
+func (r *restrictions) incarnation() uint32 { return uint32(r.identity) }
+
 // notice returns what entries are told, and return with their requests.
 func (r *restrictions) notice(isTargetKnown bool) hopheader.Notice {
 	if !isTargetKnown {
 		return hopheader.Notice{}
 	}
 	return hopheader.Notice{
-		IsKnown: r.limiter.isHeard, Incarnation: r.incarnation,
+		IsKnown: r.limiter.isHeard, Incarnation: r.incarnation(),
 		HasLimit: r.limiter.knowledge == limited, Limit: r.limiter.perSecond, Leaving: r.leaving,
 	}
 }
@@ -43,7 +47,7 @@
 // know better. The caller holds mu.
 func (g *Gate) learnNotice(n hopheader.Notice, now time.Time) {
 	r := &g.target.restrictions
-	if !g.target.isKnown || !n.IsKnown || n.Incarnation != r.incarnation {
+	if !g.target.isKnown || !n.IsKnown || n.Incarnation != r.incarnation() {
 		return
 	}
 	if n.Leaving && !r.leaving {
@@ -64,10 +68,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if gr.instance != g.target.announced.Instance {
+	r := &g.target.restrictions
+	if gr.identity != r.identity {
 		return
 	}
-	r := &g.target.restrictions
 	if t.Leaving && !r.leaving {
 		r.leaving = true
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -212,7 +212,7 @@
 func (g *Gate) resetTarget() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.target = g.target.renewed(g.target.restrictions.incarnation)
+	g.target = g.target.renewed(g.target.restrictions.identity)
 	g.options.Logger.Warn("response came from another target at the address", "outcome", "closed until a target announces itself")
 }
 
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -37,11 +37,11 @@
 
 // renewed returns the state of another incarnation, whose requests still share the
 // slots with those of the last one. Restrictions of the same incarnation go on.
-func (t *targetState) renewed(incarnation uint32) targetState {
+func (t *targetState) renewed(identity uint64) targetState {
 	s := newTargetState()
 	s.inFlight, s.restrictions = t.inFlight, t.restrictions
-	if incarnation != t.restrictions.incarnation {
-		s.restrictions = restrictions{incarnation: incarnation}
+	if identity != t.restrictions.identity {
+		s.restrictions = restrictions{identity: identity}
 	}
 	return s
 }
@@ -85,7 +85,7 @@
 			return false, ErrStale
 		}
 	}
-	*t = t.renewed(a.incarnation())
+	*t = t.renewed(a.identity())
 	t.announced, t.isKnown, t.lastAnnouncedAt = a, true, now
 	return true, nil
 }
