soak, standin: targets that name limits and their leave

Stand-ins for targets name a limit that changes or ends, and their leave, while nodes restart and links are cut. Each audits its own arrivals. A process of the fleet is now started only if it is not running, in one step: two overlapping faults could start a second one.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -40,9 +40,6 @@
 // restartIfExited starts a process that has exited. Since faults overlap, another one
 // may have restarted it already.
 func (f *fleet) restartIfExited(p *process) {
-	if p.isRunning() {
-		return
-	}
 	if err := p.start(); err != nil {
 		f.recordViolation("%v", err)
 	}
@@ -85,6 +82,18 @@
 		for _, p := range []*proxy{f.gateProxies[e.node], f.controlProxies[e.node]} {
 			p.setMode(modePass)
 		}
+	case faultLimit:
+		for _, limit := range e.limits {
+			f.setFaults(f.address(e.node, portTarget), fmt.Sprintf(`{"limit":%g}`, limit))
+			time.Sleep(e.duration / 2)
+		}
+		f.setFaults(f.address(e.node, portTarget), `{}`)
+	case faultLeave:
+		f.setFaults(f.address(e.node, portTarget), `{"leaving":true}`)
+		time.Sleep(e.duration)
+		target.signal(syscall.SIGTERM)
+		target.waitOrKill(drainTime + 2*callerTimeout)
+		f.restartIfExited(target)
 	case faultReset:
 		f.gateProxies[e.node].resetConns()
 		f.controlProxies[e.node].resetConns()
--- a/soak/process.go
+++ b/soak/process.go
@@ -21,10 +21,18 @@
 	exited chan struct{}
 }
 
-// start starts the program and appends its output to the log file.
+// start starts the program, unless it is running, and appends its output to the log
+// file.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.exited != nil {
+		select {
+		case <-p.exited:
+		default:
+			return nil
+		}
+	}
 	f, err := os.OpenFile(p.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -71,15 +79,3 @@
 		<-exited
 	}
 }
-
-// isRunning reports whether the process has not exited.
-func (p *process) isRunning() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
-	}
-}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -22,6 +22,8 @@
 	faultKillAll   = "kill_all"
 	faultReload    = "sighup"
 	faultRevert    = "store_reverts"
+	faultLimit     = "limit"
+	faultLeave     = "leave"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
@@ -37,11 +39,12 @@
 	linkMode    mode
 	targetFault string
 	storeFault  string
+	limits      [2]float64
 }
 
 func (e event) String() string {
-	return fmt.Sprintf("at %5d ms: %s node=%d for=%d ms link=%s target=%s store=%s",
-		e.at.Milliseconds(), e.kind, e.node, e.duration.Milliseconds(), e.linkMode, e.targetFault, e.storeFault)
+	return fmt.Sprintf("at %5d ms: %s node=%d for=%d ms link=%s target=%s store=%s limits=%v",
+		e.at.Milliseconds(), e.kind, e.node, e.duration.Milliseconds(), e.linkMode, e.targetFault, e.storeFault, e.limits)
 }
 
 // Faults that the stand-in targets and the stand-in store can be set to, in JSON.
@@ -78,7 +81,32 @@
 	if rng.IntN(3) == 0 {
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
-	return insertReversion(events, seed, duration)
+	return insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
+}
+
+// Limits that targets name, in requests per second. The second replaces the first in the
+// middle of the fault.
+var limitPairs = [][2]float64{{0.5, 0.5}, {2, 2}, {5, 1}, {1, 4}, {2, 0}}
+
+// insertNotices adds targets that name limits or their leave. It draws from random numbers of its own, as insertReversion does.
+func insertNotices(events []event, seed uint64, nodes int, duration time.Duration) []event {
+	rng := rand.New(rand.NewPCG(seed, 79))
+	for _, kind := range []string{faultLimit, faultLimit, faultLeave} {
+		if rng.IntN(4) == 0 {
+			continue
+		}
+		e := event{
+			at: time.Duration(rng.Int64N(int64(duration / 4))), kind: kind, node: rng.IntN(nodes),
+			duration: duration/2 + time.Duration(rng.Int64N(int64(duration/4))), limits: limitPairs[rng.IntN(len(limitPairs))],
+		}
+		events = insertInOrder(events, e)
+	}
+	return events
+}
+
+func insertInOrder(events []event, e event) []event {
+	i, _ := slices.BinarySearchFunc(events, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return slices.Insert(events, i, e)
 }
 
 // insertReversion adds a return of the store from an older copy to every second
@@ -93,6 +121,5 @@
 		at: time.Duration(rng.Int64N(int64(duration - lastFaultMargin))), kind: faultRevert,
 		duration: time.Duration(1000+rng.IntN(4000)) * time.Millisecond,
 	}
-	i, _ := slices.BinarySearchFunc(events, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
-	return slices.Insert(events, i, e)
+	return insertInOrder(events, e)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -114,6 +114,7 @@
 	}
 	r.Caller, r.AfterFaults = generator.Audit(report, executions), recoveryGenerator.Audit(recovery, executions)
 	f.checkReport(r)
+	f.checkNotices(events, executions)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.Violations = f.violations
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -37,6 +37,11 @@
 	WrongRequestID bool `json:"cross"`
 	// DuplicateResponse sends each response twice on the connection.
 	DuplicateResponse bool `json:"extra"`
+	// Limit is the request limit that all responses name, in requests per second; 0 is
+	// none.
+	Limit float64 `json:"limit"`
+	// Leaving makes all responses say that the target leaves.
+	Leaving bool `json:"leaving"`
 }
 
 // Headers of the platform that the stand-in reads or sets.
@@ -48,6 +53,8 @@
 	headerNotExecuted      = "Cuminwheel-Not-Executed"
 	headerServerLoad       = "Cuminwheel-Server-Load"
 	headerInstanceID       = "Cuminwheel-Instance-Id"
+	headerRequestLimit     = "Server-Limit"
+	headerLeaving          = "Server-Leaving"
 )
 
 // CrashPath is the end of the path of the requests that crash the stand-in.
@@ -61,8 +68,9 @@
 	workTime time.Duration
 	slots    chan struct{}
 
-	mu     sync.Mutex
-	faults Faults
+	mu      sync.Mutex
+	faults  Faults
+	notices noticeAudit
 	// drainConfirmedAt is when the node confirmed that the target drains, or zero.
 	drainConfirmedAt time.Time
 	// OnCrash, if not nil, is called when a request whose path ends with CrashPath has
@@ -107,6 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.notices.update(f)
 }
 
 func (s *Server) currentFaults() Faults {
@@ -122,9 +131,16 @@
 		return
 	}
 	f := s.currentFaults()
+	s.auditArrival()
 	id := r.Header.Get(headerRequestID)
 	h := w.Header()
 	h.Set(headerRequestID, id)
+	if f.Limit > 0 {
+		h.Set(headerRequestLimit, strconv.FormatFloat(f.Limit, 'g', -1, 64))
+	}
+	if f.Leaving {
+		h.Set(headerLeaving, "1")
+	}
 	if expected := r.Header.Get(headerExpectedInstance); expected != "" && expected != s.Instance {
 		h.Set(headerInstanceID, s.Instance)
 		w.WriteHeader(http.StatusMisdirectedRequest)
