soak, standin: a request that crashes targets and comes again at any node

The same request is sent to random nodes that are in touch, while the targets restart, nodes are killed and links are cut. At most three targets may crash under it later than 4 s after the third.

--- a/cmd/cuminwheel/standin_target.go
+++ b/cmd/cuminwheel/standin_target.go
@@ -11,6 +11,9 @@
 	"github.com/urfave/cli/v3"
 )
 
+// crashExitCode is the exit status of a stand-in that a request has crashed.
+const crashExitCode = 70
+
 func standinTargetCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "target",
@@ -47,6 +50,10 @@
 	defer stopAnnouncing()
 	go announcer.Run(announcing)
 	server := target.New(announcer.Instance, announcer.Service, announcer.Slots, c.Duration("work"), ranFile)
+	server.OnCrash = func() {
+		server.RecordCrash()
+		os.Exit(crashExitCode)
+	}
 	announcer.OnDrainConfirmed = server.MarkDraining
 	return serve(ctx, announcer.Address, server.Handler(), func() {
 		stopAnnouncing()
--- a/soak/audit.go
+++ b/soak/audit.go
@@ -1,9 +1,95 @@
 package soak
 
-import "github.com/cuminwheel/cuminwheel/standin/target"
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/standin/target"
+)
+
+const (
+	// crashInterval is the time between two requests that crash targets, and
+	// targetRestartDelay the time until a crashed target is back.
+	crashInterval      = 200 * time.Millisecond
+	targetRestartDelay = 500 * time.Millisecond
+	// spreadTime is how long after the third crash under a request it may still be sent
+	// to targets, and maxLateCrashes how many may crash later. A node without a fault
+	// for as long is in touch.
+	spreadTime     = 4 * time.Second
+	maxLateCrashes = 3
+	crashThreshold = 3
+)
+
+// affectsNode reports whether a fault keeps its node from hearing of others or makes it
+// forget.
+func (e event) affectsNode() bool {
+	return slices.Contains([]string{faultKill, faultTerminate, faultPause, faultLink, faultReset, faultKillAll}, e.kind)
+}
+
+// recordFault records that the node of an event is out of touch, if the event does that.
+func (f *fleet) recordFault(e event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.lastFault {
+		if e.affectsNode() && (i == e.node || e.kind == faultKillAll) {
+			f.lastFault[i] = time.Now()
+		}
+	}
+}
+
+// nodesInTouch returns the nodes without a fault for spreadTime.
+func (f *fleet) nodesInTouch() (nodes []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, at := range f.lastFault {
+		if time.Since(at) > spreadTime {
+			nodes = append(nodes, i)
+		}
+	}
+	return nodes
+}
+
+// sendCrashingRequests sends the same request, which crashes targets, to random nodes
+// that are in touch, and restarts the targets that have crashed.
+func (f *fleet) sendCrashingRequests(ctx context.Context, duration time.Duration) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(crashInterval) {
+		nodes := f.nodesInTouch()
+		if len(nodes) == 0 {
+			continue
+		}
+		node := nodes[rand.IntN(len(nodes))]
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(ctx, callerTimeout)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address(node, portEntry)+"/board"+target.CrashPath, nil)
+			if err != nil {
+				return
+			}
+			req.Host = "roster.example"
+			if res, err := http.DefaultClient.Do(req); err == nil {
+				res.Body.Close()
+			}
+			time.Sleep(targetRestartDelay)
+			for _, p := range f.targets {
+				f.restartIfExited(p)
+			}
+		}()
+	}
+}
 
 // checkNotices records a violation for requests that reached targets in spite of what
-// these had named. A node that restarts is excused for what it had heard of its target.
+// these had named, and for a request that went on crashing them. Nodes that restart, are
+// paused or are cut off are excused: each such fault of a schedule allows a few more.
 func (f *fleet) checkNotices(events []event, executions map[string]int) {
 	if n := executions[target.OverLimitID]; n > 0 {
 		f.recordViolation("requests beyond a target's limit: %d", n)
@@ -18,8 +104,30 @@
 	if n := executions[target.AfterLeaveID]; n > maxPerRestart*restarts {
 		f.recordViolation("requests at targets that had named their leave: %d after %d restarts", n, restarts)
 	}
+	if n := countLateCrashes(executions); n > maxLateCrashes {
+		f.recordViolation("targets crashed late under a request: %d", n)
+	}
 }
 
 // maxPerRestart is how many requests a gate that has restarted may send to its target
 // before it learns again what that has named, one for each slot.
 const maxPerRestart = 3
+
+// countLateCrashes returns the number of crashes later than spreadTime after the third.
+func countLateCrashes(executions map[string]int) (n int) {
+	var times []int64
+	for line := range executions {
+		if text, ok := strings.CutPrefix(line, target.CrashPrefix); ok {
+			if millis, err := strconv.ParseInt(text, 10, 64); err == nil {
+				times = append(times, millis)
+			}
+		}
+	}
+	slices.Sort(times)
+	for i, at := range times {
+		if i >= crashThreshold && at-times[crashThreshold-1] > spreadTime.Milliseconds() {
+			n++
+		}
+	}
+	return n
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -49,6 +49,8 @@
 // and what it stopped is restarted.
 func (f *fleet) applyFault(ctx context.Context, e event) {
 	node, target := f.nodes[e.node], f.targets[e.node]
+	f.recordFault(e)
+	defer f.recordFault(e)
 	switch e.kind {
 	case faultKill:
 		node.signal(syscall.SIGKILL)
@@ -94,6 +96,8 @@
 		target.signal(syscall.SIGTERM)
 		target.waitOrKill(drainTime + 2*callerTimeout)
 		f.restartIfExited(target)
+	case faultCrash:
+		f.sendCrashingRequests(ctx, e.duration)
 	case faultReset:
 		f.gateProxies[e.node].resetConns()
 		f.controlProxies[e.node].resetConns()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -24,6 +24,7 @@
 	faultRevert    = "store_reverts"
 	faultLimit     = "limit"
 	faultLeave     = "leave"
+	faultCrash     = "crashing_request"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
@@ -88,10 +89,11 @@
 // middle of the fault.
 var limitPairs = [][2]float64{{0.5, 0.5}, {2, 2}, {5, 1}, {1, 4}, {2, 0}}
 
-// insertNotices adds targets that name limits or their leave. It draws from random numbers of its own, as insertReversion does.
+// insertNotices adds targets that name limits or their leave, and requests that crash
+// targets. It draws from random numbers of its own, as insertReversion does.
 func insertNotices(events []event, seed uint64, nodes int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 79))
-	for _, kind := range []string{faultLimit, faultLimit, faultLeave} {
+	for _, kind := range []string{faultLimit, faultLimit, faultLeave, faultCrash} {
 		if rng.IntN(4) == 0 {
 			continue
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,12 +85,14 @@
 	mu         sync.Mutex
 	version    uint64
 	violations []string
+	// lastFault is when each node was last out of touch.
+	lastFault []time.Time
 }
 
 // Run runs a fleet under the faults of a seed. An error means that the run could
 // not be carried out; violated guarantees are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	f := &fleet{options: o}
+	f := &fleet{options: o, lastFault: make([]time.Time, o.Nodes)}
 	defer f.stop()
 	if err := f.start(ctx); err != nil {
 		return Report{}, err
--- a/standin/target/notice_audit.go
+++ b/standin/target/notice_audit.go
@@ -13,6 +13,8 @@
 	// AfterLeaveID is recorded for each request that arrives although the target has
 	// named its leave for some time.
 	AfterLeaveID = "after_leave"
+	// CrashPrefix begins the line of a crash, before its time in Unix ms.
+	CrashPrefix = "crash:"
 )
 
 const (
@@ -71,3 +73,10 @@
 		fmt.Fprintln(s.executions, line)
 	}
 }
+
+// RecordCrash records that a request crashes the target.
+func (s *Server) RecordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(s.executions, "%s%d\n", CrashPrefix, time.Now().UnixMilli())
+}
