gate: a raised limit admits queued requests at once

A request that waited for the next admission of a low limit went on waiting for that time after the target had raised its limit. The test failed before: the timer of the first limit was kept.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -197,13 +197,15 @@
 // next one. The caller holds mu.
 func (g *Gate) wakeForLimit(now time.Time) {
 	nextAt := g.target.restrictions.limiter.nextAt(now, 0)
-	if nextAt.IsZero() || len(g.queue.waiters) == 0 || g.limitTimer != nil {
+	if nextAt.IsZero() || len(g.queue.waiters) == 0 {
 		return
 	}
+	if g.limitTimer != nil {
+		g.limitTimer.Stop()
+	}
 	g.limitTimer = time.AfterFunc(nextAt.Sub(now), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.limitTimer = nil
 		g.dispatchWaiters()
 	})
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -80,8 +80,7 @@
 	retryBudget retryBudget
 	gateCount   int
 	isDraining  bool
-	// limitTimer dispatches waiters when the target's limit admits one; nil if it is
-	// not running.
+	// limitTimer dispatches waiters when the target's limit admits one.
 	limitTimer *time.Timer
 	// losses holds the requests whose connections have ended since the last check for a
 	// crash; isCheckingCrash means that a goroutine checks them.
--- a/process/gate/limit_test.go
+++ b/process/gate/limit_test.go
@@ -155,3 +155,26 @@
 		is.True(g.State().AdmitsAt.After(time.Now().Add(time.Second)))
 	})
 }
+
+// A queued request must not wait for the time that a limit which has since been raised
+// would have admitted it.
+func TestRaisedLimitAdmitsWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		gr, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		g.recordSent(gr)
+		g.recordNotices(gr, "", metadata.TargetResponse{Signed: true, HasRequestLimit: true, RequestLimit: 0.2})
+		startedAt := time.Now()
+		granted := make(chan *outcome.Problem, 1)
+		go func() {
+			_, p := g.admit(t.Context(), requestWithin(8*time.Second))
+			granted <- p
+		}()
+		synctest.Wait()
+		g.recordNotices(gr, "", metadata.TargetResponse{Signed: true, HasRequestLimit: true, RequestLimit: 10})
+		is.True(<-granted == nil)
+		is.True(time.Since(startedAt) < 200*time.Millisecond)
+	})
+}
