--- a/process/gate/limit_test.go
+++ b/process/gate/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	// limit returns the limit at a time; ok is false if there is none.
 	limit    func(now time.Time) (perSecond float64, ok bool)
 	duration time.Duration
+
+	mu       sync.Mutex
 	arrivals []time.Time
 }
 
@@ -36,7 +39,9 @@
 		return
 	}
 	g.recordSent(gr)
+	l.mu.Lock()
 	l.arrivals = append(l.arrivals, time.Now())
+	l.mu.Unlock()
 	time.Sleep(l.duration)
 	limit, ok := l.limit(time.Now())
 	g.recordNotices(gr, "", metadata.TargetResponse{Signed: true, HasRequestLimit: ok, RequestLimit: limit})
