--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -124,7 +124,7 @@
 		return err
 	}
 	if changed {
-		g.questionLimit()
+		g.startProbation()
 		if previousInstance != a.Instance {
 			g.targetConns.CloseIdle()
 		}
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -34,9 +34,9 @@
 // A gate that started less than this after its target hears of the limit in time.
 const namingGrace = 3 * time.Second
 
-// questionLimit makes the limit unknown if the target was running long before the gate
-// started, and nothing is known of it yet. The caller holds mu.
-func (g *Gate) questionLimit() {
+// startProbation makes the limit unknown if nothing is known of it yet and the target was
+// running long before the gate started. The caller holds mu.
+func (g *Gate) startProbation() {
 	l := &g.target.restrictions.limiter
 	if *l == (limiter{}) && g.target.announced.StartedAt.Before(g.startedAt.Add(-namingGrace)) {
 		l.knowledge = limitUnknown
