gate: report a leave that a response without a signature names

An entry that passed such a response on did not remember the leave, so that a restart of the gate would have forgotten it. The test failed before.

--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -25,7 +25,7 @@
 		return hopheader.Notice{}
 	}
 	return hopheader.Notice{
-		IsKnown: r.limiter.isHeard, Incarnation: r.incarnation(),
+		IsKnown: r.limiter.isHeard || r.leaving, Incarnation: r.incarnation(),
 		HasLimit: r.limiter.knowledge == limited, Limit: r.limiter.perSecond, Leaving: r.leaving,
 	}
 }
--- a/process/gate/notice_test.go
+++ b/process/gate/notice_test.go
@@ -149,3 +149,16 @@
 		})
 	}
 }
+
+// A leave in a response without a signature is passed on to a caller as well, so entries
+// must remember it.
+func TestUnsignedLeaveIsReported(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	gr, p := g.admit(t.Context(), requestWithin(0))
+	is.True(p == nil)
+	g.recordNotices(gr, "", metadata.TargetResponse{Leaving: true})
+	n := g.State().Notice
+	is.True(n.IsKnown)
+	is.True(n.Leaving)
+}
