gate, http1: check for a crash only when a connection was closed, not reset

A process that ends closes its connections, and the kernel refuses new ones. A gray target resets single ones. So the gate opens a connection for the check only if one was closed or two ended at once; a single reset counts if the next connection that a request needs is refused within 2 s. A response that began later shows that the target runs.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -137,6 +139,9 @@
 		c.input.remaining = maxResponseHeadBytes
 		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
+			if ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+				return nil, false, &causedError{ErrNoResponse, err}
+			}
 			return nil, false, errors.Wrap(ErrNoResponse, causeOr(ctx, err).Error())
 		}
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
@@ -195,6 +200,22 @@
 	c.usableUntil = time.Now().Add(idle)
 }
 
+// causedError is one of the errors of this package together with its cause.
+type causedError struct{ err, cause error }
+
+func (e *causedError) Error() string   { return e.cause.Error() + ": " + e.err.Error() }
+func (e *causedError) Unwrap() []error { return []error{e.err, e.cause} }
+
+// IsClosedByPeer reports whether no response came because the peer closed the connection
+// in an orderly way, as its kernel does for a process that has ended.
+func IsClosedByPeer(err error) bool {
+	return errors.Is(err, ErrNoResponse) && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+}
+
+// IsRefused reports whether the peer's host refused a connection, since no process listens
+// at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // causeOr returns the cause of ctx if it was cancelled, and err otherwise.
 func causeOr(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -119,7 +118,7 @@
 	}
 	c, err := p.dial(ctx)
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED), err
+		return !IsRefused(err), err
 	}
 	c.reusable = true
 	p.Put(c)
@@ -154,7 +153,7 @@
 	}
 	conn, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, &dialError{err}
+		return nil, &causedError{ErrNotSent, err}
 	}
 	input := &limitedReader{reader: conn, remaining: unlimited, errExceeded: errResponseTooLarge}
 	return &Conn{
@@ -166,12 +165,6 @@
 	}, nil
 }
 
-// dialError is an ErrNotSent because no connection could be opened.
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string   { return e.cause.Error() + ": " + ErrNotSent.Error() }
-func (e *dialError) Unwrap() []error { return []error{ErrNotSent, e.cause} }
-
 // setUnackedTimeout sets TCP_USER_TIMEOUT, which makes a connection fail when sent
 // data stays unacknowledged for too long.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -82,8 +82,8 @@
 	isDraining  bool
 	// limitTimer dispatches waiters when the target's limit admits one.
 	limitTimer *time.Timer
-	// losses holds the requests whose connections have ended since the last check for a
-	// crash; isCheckingCrash means that a goroutine checks them.
+	// losses holds the requests whose connections have ended lately, the oldest first;
+	// isCheckingCrash means that a goroutine checks whether the target has crashed.
 	losses          []loss
 	isCheckingCrash bool
 }
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -72,6 +72,7 @@
 	if gr.identity != r.identity {
 		return
 	}
+	g.dropLosses(gr.startedAt)
 	if t.Leaving && !r.leaving {
 		r.leaving = true
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -80,11 +80,8 @@
 		return nil, false, outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
 	}
 	g.watchForStall(gr, req, time.Now(), func(charged bool) { g.reportStall(in, gr, id, charged) })
-	resp, res, problem := g.forward(ctx, in, req, gr, id, body)
+	resp, res, problem := g.forward(ctx, in, req, gr, id, request, body)
 	finalResult = res
-	if problem != nil && isConnectionLoss(problem.Code) {
-		g.suspectCrash(gr, request)
-	}
 	if res == resultSuccess {
 		g.options.Quarantine.RecordSuccess(request, time.Now())
 	}
@@ -95,12 +92,6 @@
 	return resp, retryCharged, problem
 }
 
-// isConnectionLoss reports whether a request failed because its connection to the target
-// ended.
-func isConnectionLoss(c outcome.Code) bool {
-	return c == outcome.CodeTargetFailed || c == outcome.CodeResponseTruncated
-}
-
 // causesRetry reports whether the entry will send the request to another
 // target after this result.
 func (r result) causesRetry(req hopheader.Request) bool {
@@ -126,7 +117,7 @@
 }
 
 // forward sends the request to the target and returns the complete response.
-func (g *Gate) forward(ctx context.Context, in *http1.IncomingRequest, req hopheader.Request, gr grant, id string, body []byte) (*http1.Response, result, *outcome.Problem) {
+func (g *Gate) forward(ctx context.Context, in *http1.IncomingRequest, req hopheader.Request, gr grant, id string, request fingerprint.Fingerprint, body []byte) (*http1.Response, result, *outcome.Problem) {
 	deadline := req.Deadline
 	if shutdownAt := g.options.ShutdownDeadline(); !shutdownAt.IsZero() && shutdownAt.Add(-relayMargin).Before(deadline) {
 		// Work that the target finishes only after this node has shut down would
@@ -141,6 +132,9 @@
 	}
 	conn, err := g.targetConns.Get(ctx, maxIdle)
 	if err != nil {
+		if http1.IsRefused(err) {
+			g.confirmCrash()
+		}
 		return nil, resultLost, outcome.Refused(outcome.CodeUnreachable, "connect to the target: %v", err)
 	}
 	defer g.targetConns.Put(conn)
@@ -157,6 +151,9 @@
 	}, g.options.Headers.ResponseRequestID, nil)
 	if err != nil {
 		res, p := classifyError(ctx, err)
+		if ctx.Err() == nil && (p.Code == outcome.CodeTargetFailed || p.Code == outcome.CodeResponseTruncated) {
+			g.suspectCrash(gr, request, http1.IsClosedByPeer(err))
+		}
 		return nil, res, p
 	}
 	signals := g.options.Headers.ParseTargetHeaders(resp.Status, resp.Header)
