gate: a leave or a limit that another target at the address names is not the own target's

Found in a reading of the change: a 421 response comes from another target, but what it said about itself was recorded for the gate's own one. The test failed before: the gate stayed closed when its target announced itself again.

--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -10,6 +11,8 @@
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
+	"github.com/cuminwheel/cuminwheel/request/metadata"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
@@ -114,3 +117,45 @@
 		t.Error(err)
 	}
 }
+
+// leavingHeaders reads every response as one of a target that leaves.
+type leavingHeaders struct{ noHeaders }
+
+func (leavingHeaders) ParseTargetHeaders(int, http.Header) metadata.TargetResponse {
+	return metadata.TargetResponse{Leaving: true, NotRun: true}
+}
+
+// What another target at the address says about itself must not be taken for what the
+// gate's own target says.
+func TestNoticesOfAnotherTargetAreIgnored(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := conn.Read(make([]byte, 4096)); err == nil {
+			io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	g := newGate()
+	g.options.Headers, g.options.Address = leavingHeaders{}, l.Addr().String()
+	pool, closePool := http1.NewPool(g.options.Address, dialTimeout)
+	defer closePool()
+	g.targetConns = pool
+	a := announcement("i", 1000, 1)
+	a.Address = g.options.Address
+	is.NoErr(g.Announce(a))
+	gr, p := g.admit(t.Context(), requestWithin(0))
+	is.True(p == nil)
+	_, res, p := g.forward(t.Context(), &http1.IncomingRequest{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}, requestWithin(0), gr, "", 0, nil)
+	g.release(gr, res)
+	is.Equal(p.Code, outcome.CodeMisdirected)
+	a.Sequence++
+	is.NoErr(g.Announce(a))
+	is.True(g.State().Accepting)
+}
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -157,7 +157,9 @@
 		return nil, res, p
 	}
 	signals := g.options.Headers.ParseTargetHeaders(resp.Status, resp.Header)
-	g.recordNotices(gr, id, signals)
+	if resp.Status != http.StatusMisdirectedRequest {
+		g.recordNotices(gr, id, signals)
+	}
 	return g.classifyResponse(resp, signals)
 }
 
