--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -33,6 +33,20 @@
 	return time.Time{}
 }
 
+// announceAt announces a target at an address to a gate, which connects to it there.
+func announceAt(t *testing.T, g *Gate, address string) Announcement {
+	t.Helper()
+	pool, closePool := http1.NewPool(address, dialTimeout)
+	t.Cleanup(closePool)
+	g.targetConns, g.options.Address = pool, address
+	a := announcement("i", 1000, 1)
+	a.Address = address
+	if err := g.Announce(a); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
 // A gray target that resets a request must not be taken for one that has crashed. A
 // target that ends takes along all requests that it runs.
 func TestCrashIsToldFromReset(t *testing.T) {
@@ -62,13 +76,7 @@
 			recorder := &crashRecorder{}
 			g := newGate()
 			g.options.Quarantine = recorder
-			g.options.Address = l.Addr().String()
-			pool, closePool := http1.NewPool(g.options.Address, dialTimeout)
-			defer closePool()
-			g.targetConns = pool
-			a := announcement("i", 1000, 1)
-			a.Address = g.options.Address
-			is.NoErr(g.Announce(a))
+			announceAt(t, g, l.Addr().String())
 			gateListener, closeGate, err := http1.Listen("127.0.0.1:0", g.Serve, func() http1.Limits {
 				return http1.Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 14, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 			}, hclog.NewNullLogger())
@@ -143,13 +151,8 @@
 		}
 	}()
 	g := newGate()
-	g.options.Headers, g.options.Address = leavingHeaders{}, l.Addr().String()
-	pool, closePool := http1.NewPool(g.options.Address, dialTimeout)
-	defer closePool()
-	g.targetConns = pool
-	a := announcement("i", 1000, 1)
-	a.Address = g.options.Address
-	is.NoErr(g.Announce(a))
+	g.options.Headers = leavingHeaders{}
+	a := announceAt(t, g, l.Addr().String())
 	gr, p := g.admit(t.Context(), requestWithin(0))
 	is.True(p == nil)
 	_, res, p := g.forward(t.Context(), &http1.IncomingRequest{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}, requestWithin(0), gr, "", 0, nil)
--- a/process/quarantine/doc.go
+++ b/process/quarantine/doc.go
@@ -1,9 +1,9 @@
 // Package quarantine finds the requests that crash the targets which run them, so that
 // no node sends them to further targets.
 //
-// A gate that loses the connection to its target checks whether the target still
-// accepts connections. A gray target does: it resets single requests. If it does not,
-// all requests that it ran are recorded with the incarnation that has ended. The same
+// A gate whose target closes a connection under a request checks whether the target still
+// accepts connections. A gray target does: it resets single requests. If it does not, the
+// requests that were lost are recorded with the incarnation that has ended. The same
 // request may come again at any node, so a Table holds this evidence by the request's
 // fingerprint, and nodes exchange it (package membership). Each node then decides by
 // itself, with the same result: a request under which Threshold incarnations have
