--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -49,6 +49,10 @@
 	RouteHash uint32
 	// Priority ranks queued requests; 0 is the most urgent.
 	Priority int
+	// Customer is the name of the caller's customer, or "". CustomerPriority goes before
+	// Priority.
+	Customer         string
+	CustomerPriority int
 	// IsRetry means that the request has already been sent to a target.
 	IsRetry bool
 	// RetryCharged means that a gate that failed the request has already charged
--- a/version/configuration/configuration.go
+++ b/version/configuration/configuration.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cuminwheel/cuminwheel/version/customer"
 )
 
 // Configuration is one version of the configuration. It is immutable.
@@ -14,9 +16,39 @@
 	services map[string]Service
 	limits   Limits
 	// routes holds the routes of each host, the longest prefix first.
-	routes map[string][]Route
+	routes    map[string][]Route
+	customers customer.Directory
+	modes     Modes
 }
 
+// Balancing is the way in which entries choose among gates.
+type Balancing string
+
+// Scheduling is the way in which gates and entries decide which requests wait and which
+// are refused.
+type Scheduling string
+
+// The ways of balancing and scheduling. The first of each is the default.
+const (
+	BalancingLowestCost Balancing = "lowest_cost"
+	BalancingEven       Balancing = "even"
+
+	SchedulingDeadline Scheduling = "deadline"
+	SchedulingShared   Scheduling = "shared"
+)
+
+// Modes select how requests are placed and scheduled. Empty fields mean the defaults.
+type Modes struct {
+	Balancing  Balancing
+	Scheduling Scheduling
+}
+
+// IsEven reports whether load is balanced evenly.
+func (m Modes) IsEven() bool { return m.Balancing == BalancingEven }
+
+// IsShared reports whether the shared scheduling applies.
+func (m Modes) IsShared() bool { return m.Scheduling == SchedulingShared }
+
 // Service is a set of targets that serve the same requests.
 type Service struct {
 	Name string
@@ -47,6 +79,10 @@
 	// Idempotent means that requests may run more than once. Without it each runs at
 	// most once.
 	Idempotent bool
+	// Bulk means that bodies are large.
+	Bulk Bulk
+	// Public means that requests need no key, also if the configuration has customers.
+	Public bool
 	// Timeout is the longest time until a request gets a response or is refused.
 	Timeout time.Duration
 	// TargetLatency is the latency within which a response is worth most.
@@ -59,6 +95,15 @@
 	WeightedServices []WeightedService
 }
 
+// Bulk says which bodies of a route are large.
+type Bulk string
+
+// The kinds of bulk routes; the empty value means that bodies are small.
+const (
+	BulkUpload   Bulk = "upload"
+	BulkDownload Bulk = "download"
+)
+
 // WeightedService is a service of a route with its weight.
 type WeightedService struct {
 	Service string
@@ -119,6 +164,24 @@
 	return s, ok
 }
 
+// Customers returns the customers; without any, requests need no key.
+func (c Configuration) Customers() customer.Directory { return c.customers }
+
+// WithCustomers returns the configuration with the given customers.
+func (c Configuration) WithCustomers(d customer.Directory) Configuration {
+	c.customers = d
+	return c
+}
+
+// Modes returns how requests are placed and scheduled.
+func (c Configuration) Modes() Modes { return c.modes }
+
+// WithModes returns the configuration with the given modes.
+func (c Configuration) WithModes(m Modes) Configuration {
+	c.modes = m
+	return c
+}
+
 // RouteFor returns the route of the host with the longest prefix that matches the
 // path.
 func (c Configuration) RouteFor(host, path string) (Route, bool) {
