quarantine: a failing test for a sound request beside crashes

Cause: a success clears a request only at a node that already knows of its crashes. The evidence travels for about a second; three crashes of a request that is retried at once take half of that. Result: the test fails on this commit.

--- a/process/quarantine/table_test.go
+++ b/process/quarantine/table_test.go
@@ -197,3 +197,20 @@
 		})
 	}
 }
+
+// A request that other targets complete while some crash under it is sound, also if the
+// nodes of those targets hear of the crashes only later: the evidence travels for a second
+// and three crashes take half of that.
+func TestSuccessBeforeTheEvidenceArrivesClears(t *testing.T) {
+	is := is.New(t)
+	crashed, serving := newTable(), newTable()
+	for i := range uint64(Threshold) {
+		crashed.RecordCrash(i, []fingerprint.Fingerprint{bad}, start.Add(time.Duration(i)*200*time.Millisecond))
+	}
+	serving.RecordSuccess(bad, start.Add(300*time.Millisecond))
+	now := start.Add(time.Second)
+	serving.Merge(crashed.Records(now), now)
+	is.True(serving.QuarantinedUntil(bad, now).IsZero())
+	crashed.Merge(serving.Records(now), now)
+	is.True(crashed.QuarantinedUntil(bad, now).IsZero())
+}
