quarantine, gate, entry: clear sound requests by earlier successes and by rationed trials

Cause: a quarantined request is sent nowhere, so that no success could clear it for an hour, and successes that came before the evidence did not count.

Change: nodes remember recent successes; one since the first crash clears a request. A quarantined request gets at most two trials at gates that all nodes elect alike, the first after 1 s if a target had completed the request before, otherwise after a minute.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -52,6 +52,8 @@
 type Quarantine interface {
 	// QuarantinedUntil returns until when a request must not be run, or zero.
 	QuarantinedUntil(request fingerprint.Fingerprint, now time.Time) time.Time
+	// TrialDue returns the round of the trial that a quarantined request may run now.
+	TrialDue(request fingerprint.Fingerprint, now time.Time) (round uint64, isDue bool)
 }
 
 // Options configures an Entry.
--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
@@ -33,6 +34,42 @@
 	return time.Time{}
 }
 
+func (*crashRecorder) BeginTrial(fingerprint.Fingerprint, time.Time, func(uint64) bool) (func(), bool) {
+	return nil, false
+}
+
+// A quarantined request may run only at an elected gate, and only one at a time: each trial
+// may crash a target.
+func TestTrialOfQuarantinedRequest(t *testing.T) {
+	const request fingerprint.Fingerprint = 7
+	crashedAt := time.Now()
+	tests := []struct {
+		name      string
+		isElected bool
+		after     time.Duration
+		want      []bool
+	}{
+		{"elected and due", true, 2 * time.Second, []bool{true, false}},
+		{"elected, not yet due", true, 500 * time.Millisecond, []bool{false}},
+		{"not elected", false, 2 * time.Second, []bool{false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate()
+			g.options.IsTrialGate = func(fingerprint.Fingerprint, uint64) bool { return test.isElected }
+			g.options.Quarantine.RecordSuccess(request, crashedAt.Add(-time.Second))
+			for i := range uint64(quarantine.Threshold) {
+				g.options.Quarantine.RecordCrash(i, []fingerprint.Fingerprint{request}, crashedAt)
+			}
+			for _, want := range test.want {
+				_, until := g.checkQuarantine(request, crashedAt.Add(test.after))
+				is.Equal(until.IsZero(), want)
+			}
+		})
+	}
+}
+
 // announceAt announces a target at an address to a gate, which connects to it there.
 func announceAt(t *testing.T, g *Gate, address string) Announcement {
 	t.Helper()
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -40,6 +40,8 @@
 	RecordSuccess(request fingerprint.Fingerprint, now time.Time)
 	// QuarantinedUntil returns until when a request must not be run, or zero.
 	QuarantinedUntil(request fingerprint.Fingerprint, now time.Time) time.Time
+	// BeginTrial claims the trial of a quarantined request; end ends it.
+	BeginTrial(request fingerprint.Fingerprint, now time.Time, isElected func(round uint64) bool) (end func(), ok bool)
 }
 
 // Options holds the settings and dependencies of a gate.
@@ -63,6 +65,9 @@
 	// GateCount returns the number of gates of the service. It is called for each
 	// request.
 	GateCount func() int
+	// IsTrialGate reports whether the gate is elected to run the trial of a quarantined
+	// request in a round; nil means that it never is.
+	IsTrialGate func(request fingerprint.Fingerprint, round uint64) bool
 	// ShutdownDeadline returns when requests in progress at a leaving node must
 	// have ended, or zero if the node is not leaving.
 	ShutdownDeadline func() time.Time
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -75,7 +75,9 @@
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
 	request := fingerprint.Of(in.Method, in.Host, in.URI, body)
-	if until := g.options.Quarantine.QuarantinedUntil(request, time.Now()); !until.IsZero() {
+	endTrial, until := g.checkQuarantine(request, time.Now())
+	defer endTrial()
+	if !until.IsZero() {
 		g.options.Logger.Warn("request refused", "request", id, "reason", outcome.CodeQuarantined, "fingerprint", request)
 		return nil, false, outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
 	}
@@ -92,6 +94,22 @@
 	return resp, retryCharged, problem
 }
 
+// checkQuarantine returns until when a request must not be run, or zero if it may run. A
+// quarantined request may run as a trial; endTrial must be called after its result has
+// been recorded.
+func (g *Gate) checkQuarantine(request fingerprint.Fingerprint, now time.Time) (endTrial func(), until time.Time) {
+	until = g.options.Quarantine.QuarantinedUntil(request, now)
+	if until.IsZero() || g.options.IsTrialGate == nil {
+		return func() {}, until
+	}
+	end, ok := g.options.Quarantine.BeginTrial(request, now, func(round uint64) bool { return g.options.IsTrialGate(request, round) })
+	if !ok {
+		return func() {}, until
+	}
+	g.options.Logger.Warn("trial of a quarantined request", "fingerprint", request)
+	return end, time.Time{}
+}
+
 // causesRetry reports whether the entry will send the request to another
 // target after this result.
 func (r result) causesRetry(req hopheader.Request) bool {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/process/settings"
+	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -123,7 +124,7 @@
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		GateCount: func() int { return n.view.CountOf(s.Service) }, ShutdownDeadline: n.shutdownDeadline,
+		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
@@ -145,6 +146,24 @@
 	return nil
 }
 
+// isTrialGate reports whether the node's gate is elected to run the trial of a quarantined
+// request.
+func (n *Node) isTrialGate(request fingerprint.Fingerprint, round uint64) bool {
+	var gates []string
+	self := n.view.Self()
+	for _, r := range n.view.Nodes() {
+		if r.Service == self.Service {
+			gates = append(gates, r.GateAddress)
+		}
+	}
+	for _, i := range quarantine.ElectGates(gates, request, round) {
+		if gates[i] == self.GateAddress {
+			return true
+		}
+	}
+	return false
+}
+
 // listen opens the node's addresses; the one for callers is last.
 func (n *Node) listen(e *entry.Entry) error {
 	s := n.settings
--- a/process/quarantine/doc.go
+++ b/process/quarantine/doc.go
@@ -9,8 +9,14 @@
 // itself, with the same result: a request under which Threshold incarnations have
 // crashed is refused.
 //
-// A crash also takes requests along that are not its cause. One success at any target
-// clears a request, since one that crashes targets never succeeds.
+// A crash also takes requests along that are not its cause; of a popular request, one is at
+// work at nearly every target. One success since the first crash, at any target, clears a
+// request, since one that crashes targets never succeeds. Nodes remember recent successes,
+// because the evidence may reach them after the success that disproves it.
+//
+// A quarantined request is sent nowhere, so that no success could clear it. It therefore
+// gets a few trials, which are rationed for the whole fleet: they come after a delay, at
+// gates that all nodes elect alike, and end after maxTrials crashes (trial.go).
 //
 // Tables only grow by union: the incarnations under a request, and whether it is
 // cleared. The order in which nodes hear of evidence therefore does not matter. A record
--- a/process/quarantine/table.go
+++ b/process/quarantine/table.go
@@ -35,17 +35,26 @@
 	// Crashes identify the incarnations that crashed while they ran the request, in
 	// ascending order.
 	Crashes []uint64 `codec:"c"`
-	// Cleared means that a target has completed the request.
+	// Cleared means that a target has completed the request since its first crash.
 	Cleared bool `codec:"k,omitempty"`
+	// HasHistory means that a target had completed the request before its first crash.
+	HasHistory bool `codec:"h,omitempty"`
+	// AgeMillis is the time since the first crash.
+	AgeMillis int64 `codec:"a,omitempty"`
 	// RemainingMillis is how much longer the record is kept.
 	RemainingMillis int64 `codec:"t"`
 }
 
 // entry is a record with its deadline.
 type entry struct {
-	crashes   []uint64
-	cleared   bool
-	expiresAt time.Time
+	crashes    []uint64
+	cleared    bool
+	hasHistory bool
+	// firstCrashAt is when the first known crash happened.
+	firstCrashAt time.Time
+	expiresAt    time.Time
+	// inTrial means that the gate of this node has a trial of the request in progress.
+	inTrial bool
 }
 
 func (e *entry) isQuarantined() bool { return !e.cleared && len(e.crashes) >= Threshold }
@@ -55,8 +64,9 @@
 	logger  hclog.Logger
 	updates chan []Record
 
-	mu      sync.Mutex
-	entries map[fingerprint.Fingerprint]*entry
+	mu        sync.Mutex
+	entries   map[fingerprint.Fingerprint]*entry
+	successes successes
 	// nextExpiry is no later than the first deadline of the entries.
 	nextExpiry time.Time
 }
@@ -79,9 +89,11 @@
 	t.Merge(records, now)
 }
 
-// RecordSuccess clears a request that a target has completed.
+// RecordSuccess clears a request that a target has completed, and remembers the success
+// for crashes that the node has not heard of yet.
 func (t *Table) RecordSuccess(r fingerprint.Fingerprint, now time.Time) {
 	t.mu.Lock()
+	t.successes.record(r, now)
 	e, ok := t.entries[r]
 	ok = ok && !e.cleared
 	t.mu.Unlock()
@@ -90,15 +102,24 @@
 	}
 }
 
-// QuarantinedUntil returns until when a request is refused, or zero if it is not.
+// QuarantinedUntil returns until when a request is refused, or zero if it is not. Until
+// then only trials run.
 func (t *Table) QuarantinedUntil(r fingerprint.Fingerprint, now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if e, ok := t.entries[r]; ok && e.isQuarantined() {
+	e, ok := t.entries[r]
+	if !ok || !e.isQuarantined() {
+		return time.Time{}
+	}
+	trialAt, ok := e.nextTrialAt()
+	switch {
+	case !ok:
 		return e.expiresAt
+	case now.Before(trialAt):
+		return trialAt
 	}
-	return time.Time{}
+	return now.Add(trialRetryDelay)
 }
 
 // Merge adds the evidence of the records to the table and queues those that told it
@@ -140,6 +161,10 @@
 		e.crashes, isNew = crashes, true
 	}
 	if isNew {
+		age := min(Retention, time.Duration(max(0, r.AgeMillis))*time.Millisecond)
+		if at := now.Add(-age); e.firstCrashAt.IsZero() || at.Before(e.firstCrashAt) {
+			e.firstCrashAt = at
+		}
 		remaining := min(Retention, time.Duration(r.RemainingMillis)*time.Millisecond)
 		if expiresAt := now.Add(remaining); expiresAt.After(e.expiresAt) {
 			e.expiresAt = expiresAt
@@ -148,12 +173,16 @@
 			t.nextExpiry = e.expiresAt
 		}
 	}
-	if r.Cleared && !e.cleared {
+	succeededAt, hasSucceeded := t.successes.last(r.Request)
+	if (r.Cleared || hasSucceeded && succeededAt.After(e.firstCrashAt)) && !e.cleared {
 		e.cleared, isNew = true, true
 	}
+	if (r.HasHistory || hasSucceeded) && !e.hasHistory {
+		e.hasHistory, isNew = true, true
+	}
 	if isQuarantined := e.isQuarantined(); isQuarantined != wasQuarantined {
 		t.logger.Warn("quarantine of a request changed", "fingerprint", r.Request, "quarantined", isQuarantined,
-			"crashes", len(e.crashes), "cleared", e.cleared)
+			"crashes", len(e.crashes), "cleared", e.cleared, "has_history", e.hasHistory)
 	}
 	return isNew
 }
@@ -214,7 +243,10 @@
 // record returns the record of a request. The caller holds mu.
 func (t *Table) record(r fingerprint.Fingerprint, now time.Time) Record {
 	e := t.entries[r]
-	return Record{Request: r, Crashes: slices.Clone(e.crashes), Cleared: e.cleared, RemainingMillis: e.expiresAt.Sub(now).Milliseconds()}
+	return Record{
+		Request: r, Crashes: slices.Clone(e.crashes), Cleared: e.cleared, HasHistory: e.hasHistory,
+		AgeMillis: now.Sub(e.firstCrashAt).Milliseconds(), RemainingMillis: e.expiresAt.Sub(now).Milliseconds(),
+	}
 }
 
 // Records returns the records for another node, those with the most crashes first,
@@ -258,5 +290,8 @@
 	if e.cleared {
 		b = append(b, 1)
 	}
+	if e.hasHistory {
+		b = append(b, 2)
+	}
 	return xxhash.Sum64(b)
 }
