--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -264,6 +264,7 @@
 		return nil, false, outcome.Failed(outcome.CodeGateConnectionLost, "%v", err)
 	}
 	to.updateState(meta.State, time.Now())
+	e.recordContact(to, true)
 	if meta.Problem != nil {
 		return nil, meta.RetryCharged, meta.Problem
 	}
@@ -294,10 +295,19 @@
 // still be reused.
 const maxConnectionIdle = 8 * time.Second
 
+// recordContact records whether a gate was reached. The gate of the own VM says nothing
+// about the links.
+func (e *Entry) recordContact(to *candidate, reached bool) {
+	if e.options.Contacts != nil && to.node != e.options.Node {
+		e.options.Contacts.Record(to.node, reached, time.Now())
+	}
+}
+
 // recordUnreachable marks the gate unreachable, starts to probe it and returns
 // the refusal for the request.
 func (e *Entry) recordUnreachable(to *candidate, err error) *outcome.Problem {
 	wasReachable, startsProbing := to.markUnreachable()
+	e.recordContact(to, false)
 	if wasReachable {
 		e.options.Logger.Warn("gate unreachable", "gate", to.address, "tier", to.tier, "reason", err)
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -56,10 +56,17 @@
 	TrialDue(request fingerprint.Fingerprint, now time.Time) (round uint64, isDue bool)
 }
 
+// Contacts records which nodes were reached.
+type Contacts interface {
+	Record(peer string, reached bool, now time.Time)
+}
+
 // Options configures an Entry.
 type Options struct {
 	// Service is the service of the VM on which the entry runs.
-	Service        string
+	Service string
+	// Node is the control address of the node itself.
+	Node           string
 	DataCentre     string
 	Region         string
 	Nodes          NodeSource
@@ -68,6 +75,8 @@
 	Logger         hclog.Logger
 	Meter          Meter
 	Quarantine     Quarantine
+	// Contacts records which nodes were reached; nil records nothing.
+	Contacts Contacts
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// ShutdownDeadline returns when requests in progress at a leaving node must
--- a/process/entry/probe.go
+++ b/process/entry/probe.go
@@ -35,7 +35,9 @@
 		if c.stopProbingIfReachable() {
 			break
 		}
-		if state, err := e.probe(c); err == nil {
+		state, err := e.probe(c)
+		e.recordContact(c, err == nil)
+		if err == nil {
 			c.updateState(state, time.Now())
 		}
 		if c.stopProbingIfReachable() {
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -65,6 +65,11 @@
 	fanout = 3
 )
 
+// Contacts records which nodes were reached.
+type Contacts interface {
+	Record(peer string, reached bool, now time.Time)
+}
+
 // Gossiper spreads records and configurations to other nodes and receives theirs,
 // so that the views of all nodes converge, while Run runs.
 type Gossiper struct {
@@ -72,6 +77,7 @@
 	configurations Configurations
 	evidence       Evidence
 	transport      Transport
+	contacts       Contacts
 	logger         hclog.Logger
 	// pushQueue holds updates until Run pushes them.
 	pushQueue chan []Record
@@ -344,11 +350,22 @@
 // self returns the control address of the node itself.
 func (g *Gossiper) self() string { return g.view.Self().ControlAddress }
 
+// WithContacts makes the gossiper record which nodes it reached. It must be called before
+// Run.
+func (g *Gossiper) WithContacts(c Contacts) *Gossiper {
+	g.contacts = c
+	return g
+}
+
 // call reports whether the peer replied without an error.
 func (g *Gossiper) call(ctx context.Context, peer Record, method string, args Message, reply *Message) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := g.transport.Call(ctx, peer.ControlAddress, method, args, reply); err != nil {
+	err := g.transport.Call(ctx, peer.ControlAddress, method, args, reply)
+	if g.contacts != nil {
+		g.contacts.Record(peer.ControlAddress, err == nil, time.Now())
+	}
+	if err != nil {
 		g.logger.Debug("call to another node failed", "node", peer.ControlAddress, "method", method, "reason", err)
 		return false
 	}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/connection/peerrpc"
+	"github.com/cuminwheel/cuminwheel/process/contact"
 	"github.com/cuminwheel/cuminwheel/process/entry"
 	"github.com/cuminwheel/cuminwheel/process/follower"
 	"github.com/cuminwheel/cuminwheel/process/gate"
@@ -70,6 +71,8 @@
 	gate          *gate.Gate
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
+	// contacts knows whether the node is isolated.
+	contacts contact.Tracker
 	// bodies is the budget for all bodies that the entry and the gate hold.
 	bodies *http1.BodyBudget
 
@@ -118,7 +121,7 @@
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
-	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster"))
+	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster")).WithContacts(&n.contacts)
 
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
@@ -129,7 +132,7 @@
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
-		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
+		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
