customer: validated directory with salted digests of keys

Each request of a caller needs one lookup on a small node, and a memory dump must not reveal keys. It rejects shared and empty keys, empty, duplicate and unprintable names and negative quotas and priorities, with the field and the remedy and without the key.

--- a/version/customer/customer.go
+++ b/version/customer/customer.go
@@ -1,5 +1,3 @@
-// Package customer holds the customers of one configuration version and finds them by the
-// keys of their callers.
 package customer
 
 // Customer is an organisation whose callers are identified by keys.
@@ -23,28 +21,46 @@
 	Keys []string
 }
 
-// Directory finds customers by key. It is immutable; its zero value has no customers.
+// Directory finds customers by key and by name. It is immutable; its zero value has no
+// customers.
 type Directory struct {
-	byKey map[string]Customer
-	count int
+	customers []Customer
+	byKey     map[digest]uint32
+	byName    map[string]uint32
 }
 
-// NewDirectory returns the directory of the given customers.
+// NewDirectory returns the directory of the given customers. The error is a *Error for the
+// first invalid definition.
 func NewDirectory(definitions []Definition) (Directory, error) {
-	d := Directory{byKey: map[string]Customer{}, count: len(definitions)}
-	for _, definition := range definitions {
-		for _, key := range definition.Keys {
-			d.byKey[key] = definition.Customer
+	b := NewBuilder()
+	for i, definition := range definitions {
+		if violations := b.Add(definition); len(violations) > 0 {
+			return Directory{}, &Error{Index: i, Violation: violations[0]}
 		}
 	}
-	return d, nil
+	return b.Directory(), nil
 }
 
 // Lookup returns the customer with the key.
 func (d Directory) Lookup(key string) (Customer, bool) {
-	c, ok := d.byKey[key]
-	return c, ok
+	if len(d.byKey) == 0 || key == "" {
+		return Customer{}, false
+	}
+	i, ok := d.byKey[digestOf(key)]
+	if !ok {
+		return Customer{}, false
+	}
+	return d.customers[i], true
+}
+
+// Named returns the customer with the name.
+func (d Directory) Named(name string) (Customer, bool) {
+	i, ok := d.byName[name]
+	if !ok {
+		return Customer{}, false
+	}
+	return d.customers[i], true
 }
 
 // Len returns the number of customers.
-func (d Directory) Len() int { return d.count }
+func (d Directory) Len() int { return len(d.customers) }
