configuration, platform: customers, public and bulk routes, modes

Customers, bulk routes and modes could not be written in a draft or read from a published configuration. Drafts now have customers, public, bulk, balancing and scheduling, and every violation is reported with its field and remedy.

--- a/version/configuration/draft.go
+++ b/version/configuration/draft.go
@@ -16,6 +16,11 @@
 	Services []DraftService `json:"services"`
 	Limits   *DraftLimits   `json:"limits,omitempty"`
 	Routes   []DraftRoute   `json:"routes"`
+	// Customers are optional. With any, requests of routes that are not public need a key.
+	Customers []DraftCustomer `json:"customers,omitempty"`
+	// Balancing and Scheduling are empty for the defaults.
+	Balancing  Balancing  `json:"balancing,omitempty"`
+	Scheduling Scheduling `json:"scheduling,omitempty"`
 }
 
 // DraftService is a service in a draft.
@@ -43,6 +48,8 @@
 	TargetLatencyMillis int                    `json:"target_latency_ms,omitempty"`
 	Priority            int                    `json:"priority,omitempty"`
 	MaxAttempts         int                    `json:"max_attempts,omitempty"`
+	Public              bool                   `json:"public,omitempty"`
+	Bulk                Bulk                   `json:"bulk,omitempty"`
 	WeightedServices    []DraftWeightedService `json:"parts"`
 }
 
@@ -116,6 +123,17 @@
 		}
 		seenPrefixes[key] = true
 	}
+	validateCustomers(d.Customers, add)
+	switch d.Balancing {
+	case "", BalancingLowestCost, BalancingEven:
+	default:
+		add("balancing", "%q is unknown; set %q or %q", d.Balancing, BalancingLowestCost, BalancingEven)
+	}
+	switch d.Scheduling {
+	case "", SchedulingDeadline, SchedulingShared:
+	default:
+		add("scheduling", "%q is unknown; set %q or %q", d.Scheduling, SchedulingDeadline, SchedulingShared)
+	}
 	if len(violations) == 0 {
 		return nil
 	}
@@ -140,6 +158,12 @@
 	if r.MaxAttempts < 0 {
 		add(field+".max_attempts", "set a number of at least 1, or omit the field for 1")
 	}
+	switch {
+	case r.Bulk == BulkDownload && r.NonIdempotent:
+		add(field+".bulk", "requests of a download route may be repeated; remove bulk or never_repeat")
+	case r.Bulk != "" && r.Bulk != BulkUpload && r.Bulk != BulkDownload:
+		add(field+".bulk", "%q is unknown; set %q or %q, or omit the field", r.Bulk, BulkUpload, BulkDownload)
+	}
 	if len(r.WeightedServices) == 0 {
 		add(field+".parts", "add at least one service")
 	}
@@ -177,13 +201,19 @@
 	for _, r := range d.Routes {
 		routes = append(routes, r.route())
 	}
-	return New(d.Version, services, limits, routes)
+	return New(d.Version, services, limits, routes).
+		WithCustomers(d.customerDirectory()).WithModes(Modes{Balancing: d.Balancing, Scheduling: d.Scheduling})
 }
 
+// IsNonIdempotent reports whether the requests of a valid route run at most once. Those of
+// an upload route do, even if the draft does not say so.
+func (r DraftRoute) IsNonIdempotent() bool { return r.NonIdempotent || r.Bulk == BulkUpload }
+
 // route returns the Route for a valid route of a draft.
 func (r DraftRoute) route() Route {
 	out := Route{
-		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: !r.NonIdempotent,
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: !r.IsNonIdempotent(),
+		Bulk: r.Bulk, Public: r.Public,
 		Timeout:       time.Duration(r.TimeoutMillis) * time.Millisecond,
 		TargetLatency: time.Duration(r.TargetLatencyMillis) * time.Millisecond,
 		Priority:      r.Priority, MaxAttempts: max(1, r.MaxAttempts),
