http1: send no body after a cancellation during the 100 response

Do went on to write the body when its context was cancelled while the 100 response was being handled, because the connection is closed by another goroutine. The peer could then run a request that its sender reports as not run. Do now returns ErrNotSent in this case.

TestCancelAtContinue fails without the change.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -77,6 +77,10 @@
 		if onContinue != nil {
 			onContinue()
 		}
+		if ctx.Err() != nil {
+			// The connection may not be closed yet, and the peer would act on a body.
+			return nil, errors.Wrap(ErrNotSent, context.Cause(ctx).Error())
+		}
 	}
 	// The peer may respond before it has read the whole body, so the body is
 	// written concurrently.
--- a/connection/http1/exchange_test.go
+++ b/connection/http1/exchange_test.go
@@ -89,6 +89,29 @@
 	is.True(<-got != nil)
 }
 
+// A request that is cancelled at the moment of its 100 response must not be sent either:
+// its caller reports it as not run, and the connection is closed only a little later.
+func TestCancelAtContinue(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		got := make(chan error, 1)
+		l := listen(t, func(ctx context.Context, in *IncomingRequest) *Response {
+			_, err := in.ReadBody(ctx)
+			got <- err
+			return &Response{Abort: true}
+		})
+		pool, closePool := NewPool(l.Address(), time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		conn, err := pool.Get(ctx, time.Minute)
+		is.NoErr(err)
+		_, err = conn.Do(ctx, Request{Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("x"), ExpectContinue: true}, idOf, cancel)
+		is.True(errors.Is(err, ErrNotSent))
+		pool.Put(conn)
+		is.True(<-got != nil)
+		closePool()
+	}
+}
+
 // serveRaw serves one connection and writes each raw response after it has read a
 // request. It closes the connection after the first one if closeAfter is set.
 func serveRaw(t *testing.T, closeAfter bool, responses ...string) string {
