entry, gate: authenticate requests by the keys of customers

Requests of a configuration with customers need a known key unless their route is public; others get 401 (unauthorized). The entry removes the key and the customer header of a caller before anything is forwarded or logged, and sends the customer's name and priority in the hop header. The gate sets the target's customer header from there alone. The fingerprint of a request includes the customer; without one it is the same as before.

A request whose key is removed while it awaits a gate's grant, or before its next attempt, is refused with 401; a granted one runs on. An unknown key waits up to 1 s for a configuration version that another node is known to have.

Code over_quota (429) is defined for the quota of customers. Serve marks the place for its check.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -17,6 +17,7 @@
 import (
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -93,6 +94,12 @@
 			b.WriteString(";" + f.name + "=1")
 		}
 	}
+	if r.Customer != "" {
+		b.WriteString(";u=" + url.QueryEscape(r.Customer))
+	}
+	if r.CustomerPriority != 0 {
+		b.WriteString(";y=" + strconv.Itoa(r.CustomerPriority))
+	}
 	if r.Notice.IsKnown {
 		r.Notice.inject(&b)
 	}
@@ -110,6 +117,11 @@
 		return Request{}, ErrMalformed
 	}
 	priority, _ := strconv.Atoi(params["p"]) // absent means 0
+	customerPriority, _ := strconv.Atoi(params["y"])
+	customer, err := url.QueryUnescape(params["u"])
+	if err != nil {
+		return Request{}, ErrMalformed
+	}
 	routeHash, _ := strconv.ParseUint(params["t"], 36, 32)
 	var notice Notice
 	if params["e"] != "" {
@@ -122,6 +134,7 @@
 		Deadline:      arrived.Add(time.Duration(deadlineMillis) * time.Millisecond),
 		QueueDeadline: arrived.Add(time.Duration(queueMillis) * time.Millisecond),
 		Notice:        notice,
+		Customer:      customer, CustomerPriority: customerPriority,
 	}, nil
 }
 
--- a/connection/hopheader/hopheader_test.go
+++ b/connection/hopheader/hopheader_test.go
@@ -22,11 +22,14 @@
 			Idempotent:    rapid.Bool().Draw(t, "idempotent"),
 			RouteHash:     rapid.Uint32().Draw(t, "kind"),
 			Priority:      rapid.IntRange(0, 9).Draw(t, "priority"),
-			IsRetry:       rapid.Bool().Draw(t, "repeat"),
-			CanRetry:      rapid.Bool().Draw(t, "may_fail"),
-			Deadline:      now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "left")) * time.Millisecond),
-			SoftDeadline:  now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "aim")) * time.Millisecond),
-			QueueDeadline: now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "wait")) * time.Millisecond),
+			// Names may contain the separators of the field.
+			Customer:         rapid.OneOf(rapid.String(), rapid.StringMatching(`[a-z;=%+& ,]{0,12}`)).Draw(t, "customer"),
+			CustomerPriority: rapid.IntRange(0, 9).Draw(t, "customer_priority"),
+			IsRetry:          rapid.Bool().Draw(t, "repeat"),
+			CanRetry:         rapid.Bool().Draw(t, "may_fail"),
+			Deadline:         now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "left")) * time.Millisecond),
+			SoftDeadline:     now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "aim")) * time.Millisecond),
+			QueueDeadline:    now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "wait")) * time.Millisecond),
 		}
 		h := http.Header{"X": {"kept"}}
 		r.Inject(h, now)
@@ -65,7 +68,7 @@
 
 // Missing or unparsable required parameters are reported as ErrMalformed.
 func TestMalformedHeaderField(t *testing.T) {
-	for _, field := range []string{"", "s=a", "s=a;d=x;w=1", "d=1;w=1", "b=1", "b=x;n=1"} {
+	for _, field := range []string{"", "s=a", "s=a;d=x;w=1", "s=a;a=1;d=1;w=1;u=%", "d=1;w=1", "b=1", "b=x;n=1"} {
 		is := is.New(t)
 		_, err := ExtractRequest(http.Header{"Cw": {field}}, now)
 		is.Equal(err, ErrMalformed)
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -117,6 +117,10 @@
 			s.lastProblem = outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
 			return true
 		}
+		if s.call.isKeyRemoved(e.options.Configurations.Configuration()) {
+			s.lastProblem = refuseKeyRemoved()
+			return true
+		}
 		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= maxGateAttempts {
 			return true
 		}
@@ -160,6 +164,7 @@
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
 		RouteHash: routeHash(c.route),
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
+		Customer: c.customer.Name, CustomerPriority: c.customer.Priority,
 		SoftDeadline: c.in.ReceivedAt.Add(c.targetLatency()), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
@@ -213,6 +218,15 @@
 	}
 	awaitsGrant := needsGrant(c.route.Idempotent, to.tier)
 	granted := !awaitsGrant
+	stopKeyWatch := func() {}
+	if awaitsGrant && c.customer.Name != "" {
+		wait := e.keyWatch.add(c, e.options.Configurations, cancel)
+		stopKeyWatch = func() { e.keyWatch.remove(wait) }
+		defer stopKeyWatch()
+		if c.isKeyRemoved(e.options.Configurations.Configuration()) {
+			return nil, false, refuseKeyRemoved()
+		}
+	}
 	if granted {
 		startHedgeTimer()
 	}
@@ -226,6 +240,7 @@
 			}
 		},
 	}, e.options.Headers.ResponseRequestID, func() {
+		stopKeyWatch()
 		granted = true
 		startHedgeTimer()
 	})
@@ -295,6 +310,8 @@
 			return outcome.Failed(outcome.CodeCallerDisconnected, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
+	case errors.Is(cause, errKeyRemoved) && !granted:
+		return refuseKeyRemoved()
 	case errors.Is(cause, http1.ErrShutdown) && granted:
 		return outcome.Failed(outcome.CodeTimeout, "%v", http1.ErrShutdown)
 	case errors.Is(cause, http1.ErrShutdown):
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -141,7 +141,7 @@
 	if p.Code == outcome.CodeRetryBudget {
 		s.retryBudgetRefusals++
 	}
-	return p.Code != outcome.CodeQuarantined && s.targetAttempts+s.inFlight < s.call.route.MaxAttempts && s.retryBudgetRefusals < maxRetryBudgetRefusals
+	return p.Code != outcome.CodeQuarantined && p.Code != outcome.CodeUnauthorized && s.targetAttempts+s.inFlight < s.call.route.MaxAttempts && s.retryBudgetRefusals < maxRetryBudgetRefusals
 }
 
 // finalProblem returns the problem to report to the caller when there is no
@@ -152,7 +152,7 @@
 	switch {
 	case s.lastUnknown != nil:
 		return s.lastUnknown
-	case s.lastProblem != nil && s.lastProblem.Code == outcome.CodeQuarantined:
+	case s.lastProblem != nil && (s.lastProblem.Code == outcome.CodeQuarantined || s.lastProblem.Code == outcome.CodeUnauthorized):
 		return s.lastProblem
 	case s.lastProblem != nil:
 		retryAt := s.retryAt
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/cuminwheel/cuminwheel/version/customer"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -27,6 +28,9 @@
 	// ResponseRequestID returns the ID of the request that a response belongs
 	// to.
 	ResponseRequestID(h http.Header) string
+	// RemoveCallerIdentity removes the headers with the key and the customer of a
+	// caller's request.
+	RemoveCallerIdentity(h http.Header)
 }
 
 // Configurations supplies the active configuration.
@@ -71,6 +75,9 @@
 	// ShutdownDeadline returns when requests in progress at a leaving node must
 	// have ended, or zero if the node is not leaving.
 	ShutdownDeadline func() time.Time
+	// KnownVersion returns the newest configuration version that any node is known to
+	// have.
+	KnownVersion func() uint64
 }
 
 // Entry accepts requests from callers and dispatches them to gates.
@@ -83,12 +90,18 @@
 	mu sync.Mutex
 	// splitPoints holds the last point of each route's sequence, by route name.
 	splitPoints map[string]float64
+
+	keyWatch keyWatch
 }
 
 // New returns an entry and a function that closes its connections to gates.
 func New(o Options) (*Entry, func()) {
 	d := newDirectory(o.Nodes, o.DataCentre, o.Region, o.Bodies)
-	return &Entry{options: o, directory: d, startedAt: time.Now(), splitPoints: map[string]float64{}}, d.close
+	e := &Entry{options: o, directory: d, startedAt: time.Now(), splitPoints: map[string]float64{}}
+	return e, func() {
+		e.keyWatch.close()
+		d.close()
+	}
 }
 
 // call is a caller's request with its route and deadline.
@@ -102,6 +115,10 @@
 	route                configuration.Route
 	service              string
 	deadline             time.Time
+	// key is the caller's key. It must not be logged or forwarded.
+	key string
+	// customer is that of the key; its name is empty if the request needs no key.
+	customer customer.Customer
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -141,6 +158,8 @@
 // Serve returns the response to a caller's request. It is an http1.Handler.
 func (e *Entry) Serve(ctx context.Context, in *http1.IncomingRequest) *http1.Response {
 	c, problem := e.prepareCall(ctx, in)
+	// From here on the request is authenticated: c.customer is its customer, if it has one.
+	// Checks of the customer that precede all attempts belong here.
 	var resp *http1.Response
 	var code outcome.Code
 	attempts := 0
@@ -153,35 +172,30 @@
 		resp = problem.ToResponse(c.id, now)
 	}
 	e.options.Meter.RecordEntryRequest(c.route.Name, code, now.Sub(in.ReceivedAt))
-	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service,
+	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service, "customer", c.customer.Name,
 		"configuration", c.configurationVersion, "fingerprint", c.fingerprint, "status", resp.Status, "code", code, "asked", attempts,
 		"took_ms", now.Sub(in.ReceivedAt).Milliseconds(), "left_ms", c.deadline.Sub(now).Milliseconds())
 	return resp
 }
 
-// prepareCall reads the request's body and determines its route, service and
-// deadline.
+// prepareCall reads the request's body and determines its route, customer, service and
+// deadline. The caller's key stays in the call alone.
 func (e *Entry) prepareCall(ctx context.Context, in *http1.IncomingRequest) (*call, *outcome.Problem) {
 	caller := e.options.Headers.ParseCallerHeaders(in.Header, in.ReceivedAt)
-	c := &call{id: caller.ID, in: in, deadline: caller.Deadline}
+	c := &call{id: caller.ID, in: in, deadline: caller.Deadline, key: caller.Key}
+	e.options.Headers.RemoveCallerIdentity(in.Header)
 	body, err := in.ReadBody(ctx)
 	if err != nil {
 		return c, outcome.Refused(outcome.CodeCallerDisconnected, "the body did not come: %v", err)
 	}
 	c.body = body
-	c.fingerprint = fingerprint.Of(in.Method, in.Host, in.URI, body)
-	current := e.awaitConfiguration(ctx)
-	c.configurationVersion = current.Version
-	if current.Version == 0 {
-		return c, outcome.Refused(outcome.CodeNotReady, "no configuration is known yet").WithRetryAt(time.Now().Add(defaultRetryAfter))
-	}
-	route, ok := current.RouteFor(stripPort(in.Host), in.Path)
-	if !ok {
-		return c, outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
+	problem := e.authenticate(ctx, c)
+	c.fingerprint = fingerprint.Of(c.customer.Name, in.Method, in.Host, in.URI, body)
+	if problem != nil {
+		return c, problem
 	}
-	c.route = route
-	c.service = route.PickService(e.nextSplitPoint(route))
-	latest := in.ReceivedAt.Add(route.Timeout)
+	c.service = c.route.PickService(e.nextSplitPoint(c.route))
+	latest := in.ReceivedAt.Add(c.route.Timeout)
 	if c.deadline.IsZero() || latest.Before(c.deadline) {
 		c.deadline = latest
 	}
@@ -195,6 +209,30 @@
 	return c, nil
 }
 
+// resolve sets the route and the customer of the call by a configuration.
+func (c *call) resolve(current configuration.Configuration) *outcome.Problem {
+	c.configurationVersion = current.Version
+	if current.Version == 0 {
+		return outcome.Refused(outcome.CodeNotReady, "no configuration is known yet").WithRetryAt(time.Now().Add(defaultRetryAfter))
+	}
+	route, ok := current.RouteFor(stripPort(c.in.Host), c.in.Path)
+	if !ok {
+		return outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
+	}
+	c.route = route
+	customers := current.Customers()
+	if customers.Len() == 0 || route.Public {
+		return nil
+	}
+	if c.customer, ok = customers.Lookup(c.key); ok {
+		return nil
+	}
+	if c.key == "" {
+		return outcome.Refused(outcome.CodeUnauthorized, "the route needs a key, and the request has none")
+	}
+	return outcome.Refused(outcome.CodeUnauthorized, "configuration %d has no customer with the key", current.Version)
+}
+
 // stripPort returns the host without its port.
 func stripPort(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/process/entry/fakes_test.go
+++ b/process/entry/fakes_test.go
@@ -20,7 +20,11 @@
 type stubHeaders struct{}
 
 func (stubHeaders) ParseCallerHeaders(h http.Header, _ time.Time) metadata.CallerRequest {
-	return metadata.CallerRequest{ID: h.Get("Id")}
+	return metadata.CallerRequest{ID: h.Get("Id"), Key: h.Get("Key")}
+}
+func (stubHeaders) RemoveCallerIdentity(h http.Header) {
+	h.Del("Key")
+	h.Del("Customer")
 }
 func (stubHeaders) ResponseRequestID(http.Header) string { return "" }
 
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -64,7 +64,7 @@
 	id := g.options.Headers.ParseCallerHeaders(in.Header, in.ReceivedAt).ID
 	gr, problem := g.admit(ctx, req)
 	if problem != nil {
-		g.options.Logger.Info("request refused", "request", id, "reason", problem.Code, "priority", req.Priority,
+		g.options.Logger.Info("request refused", "request", id, "reason", problem.Code, "customer", req.Customer, "priority", req.Priority,
 			"repeat", req.IsRetry, "may_fail", req.CanRetry, "wait_ms", time.Until(req.QueueDeadline).Milliseconds(), "left_ms", time.Until(req.Deadline).Milliseconds())
 		return nil, false, problem
 	}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
-	request := fingerprint.Of(in.Method, in.Host, in.URI, body)
+	request := fingerprint.Of(req.Customer, in.Method, in.Host, in.URI, body)
 	if until := g.options.Quarantine.QuarantinedUntil(request, time.Now()); !until.IsZero() {
 		g.options.Logger.Warn("request refused", "request", id, "reason", outcome.CodeQuarantined, "fingerprint", request)
 		return nil, false, outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
@@ -140,7 +140,7 @@
 	defer g.targetConns.Put(conn)
 	h := http1.CopyEndToEnd(in.Header)
 	g.options.Headers.SetTargetHeaders(h, metadata.TargetRequest{
-		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService,
+		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService, Customer: req.Customer,
 	}, time.Now())
 	g.recordSent(gr)
 	resp, err := conn.Do(ctx, http1.Request{
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -286,6 +286,12 @@
 	return own, ""
 }
 
+// KnownVersion returns the newest configuration version that the node has or has heard of.
+func (g *Gossiper) KnownVersion() uint64 {
+	version, _ := g.newestKnownVersion()
+	return version
+}
+
 // recordRemoteVersion records which configuration version another node has, and
 // requests a fetch if it is newer than the own one.
 func (g *Gossiper) recordRemoteVersion(holder string, version uint64) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -130,6 +130,7 @@
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
+		KnownVersion: n.gossiper.KnownVersion,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
--- a/request/fingerprint/fingerprint.go
+++ b/request/fingerprint/fingerprint.go
@@ -11,10 +11,18 @@
 // Fingerprint is a hash of what makes two requests the same.
 type Fingerprint uint64
 
-// Of returns the fingerprint of a request: its method, host, path with query, and body.
-// Callers have no identity of their own on the wire.
-func Of(method, host, uri string, body []byte) Fingerprint {
+// customerMark precedes the name of a customer. It cannot begin a method, so that a
+// fingerprint with a customer never hashes the same input as one without.
+const customerMark = "\xff"
+
+// Of returns the fingerprint of a request: the name of its customer, if it has one, its
+// method, host, path with query, and body.
+func Of(customer, method, host, uri string, body []byte) Fingerprint {
 	d := xxhash.New()
+	if customer != "" {
+		d.WriteString(customerMark + customer)
+		d.Write([]byte{0})
+	}
 	for _, s := range []string{method, host, uri} {
 		d.WriteString(s)
 		d.Write([]byte{0})
--- a/request/metadata/metadata.go
+++ b/request/metadata/metadata.go
@@ -11,6 +11,8 @@
 	ID string
 	// Deadline is when the caller stops waiting; zero if the caller sets none.
 	Deadline time.Time
+	// Key is the key that identifies the caller's customer, or "".
+	Key string
 }
 
 // TargetRequest is the metadata of a request to a target.
@@ -23,6 +25,8 @@
 	Instance string
 	// CallerService is the service on whose VM the request originated.
 	CallerService string
+	// Customer is the name of the caller's customer; empty if there is none.
+	Customer string
 }
 
 // TargetResponse is the metadata of a response from a target.
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -33,6 +33,11 @@
 	CodeNoRoute      Code = "no_route"
 	CodeBadRequest   Code = "bad_request"
 	CodeBodyTooLarge Code = "body_too_large"
+	// CodeUnauthorized means that the route needs a key and that the caller's key is
+	// missing, unknown or removed.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeOverQuota means that the customer's quota is used up.
+	CodeOverQuota Code = "over_quota"
 	// CodeNotReady means that the node has no configuration yet.
 	CodeNotReady Code = "not_ready"
 	// CodeNoTarget means that no target of the service is available.
@@ -123,7 +128,7 @@
 	return &Problem{Outcome: Unknown, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
 }
 
-// statusOf returns the status that callers get. 503 guarantees that the request
+// statusOf returns the status that callers get. 503 and 429 guarantee that the request
 // was not run; 502 and 504 guarantee nothing.
 func statusOf(code Code) int {
 	switch code {
@@ -131,6 +136,10 @@
 		return http.StatusNotFound
 	case CodeBadRequest:
 		return http.StatusBadRequest
+	case CodeUnauthorized:
+		return http.StatusUnauthorized
+	case CodeOverQuota:
+		return http.StatusTooManyRequests
 	case CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case CodeTimeout:
--- a/request/outcome/outcome_test.go
+++ b/request/outcome/outcome_test.go
@@ -3,12 +3,13 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
 var codes = []Code{
-	CodeNoRoute, CodeBadRequest, CodeBodyTooLarge, CodeNotReady, CodeNoTarget, CodeDraining, CodeTargetSuspected, CodeTargetFull,
+	CodeUnauthorized, CodeOverQuota, CodeNoRoute, CodeBadRequest, CodeBodyTooLarge, CodeNotReady, CodeNoTarget, CodeDraining, CodeTargetSuspected, CodeTargetFull,
 	CodeDeadlineExceeded, CodeRetryBudget, CodeShed, CodeMisdirected, CodeUnreachable, CodeCallerDisconnected,
 	CodeTimeout, CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeGateConnectionLost,
 }
@@ -26,3 +27,24 @@
 		})
 	}
 }
+
+// A refusal must have the status of its code: callers retry after a 503 or 429, and must
+// not retry with a key that is not known.
+func TestRefusalStatus(t *testing.T) {
+	tests := []struct {
+		code Code
+		want int
+	}{
+		{CodeUnauthorized, http.StatusUnauthorized}, {CodeOverQuota, http.StatusTooManyRequests}, {CodeNoRoute, http.StatusNotFound},
+		{CodeNotReady, http.StatusServiceUnavailable}, {CodeTargetFull, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(string(test.code), func(t *testing.T) {
+			is := is.New(t)
+			p := Refused(test.code, "test")
+			is.Equal(p.Outcome, NotRun)
+			is.Equal(p.Status, test.want)
+			is.Equal(p.ToResponse("1", time.Now()).Header.Get("Retry-After"), "")
+		})
+	}
+}
