--- a/process/node/node.go
+++ b/process/node/node.go
@@ -134,6 +134,7 @@
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
+		KnownVersion: n.gossiper.KnownVersion,
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
@@ -143,6 +144,7 @@
 		follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration")).Run(ctx)
 	})
 	n.startTask(func() { n.gossiper.Run(ctx) })
+	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
 	reverted := n.platform.Registry.Reverted()
 	n.startTask(func() { n.restoreRecords(ctx, reverted) })
