gate, node: refuse queued requests of removed customers; tests with keys on a small fleet

An entry cannot tell whether a read in another region, which it sends without awaiting a grant, is still queued there. The gate now refuses the queued requests of each customer that a new configuration no longer has. Status and metrics show the number of customers.

The stand-in targets audit that each request brings the customer that its ID names and no key; reports and the soak treat any other as a violation.

--- a/cmd/cuminwheel/standin_caller.go
+++ b/cmd/cuminwheel/standin_caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/standin/caller"
@@ -20,6 +21,7 @@
 			&cli.StringSliceFlag{Name: "path", Usage: "path to read; may be repeated", Required: true},
 			&cli.StringSliceFlag{Name: "claim-path", Usage: "path to post claims to; may be repeated"},
 			&cli.StringSliceFlag{Name: "audit-file", Usage: "--ran-file of a stand-in target, read for the audit at the end; may be repeated"},
+			&cli.StringSliceFlag{Name: "key", Usage: "key to send, and the customer that targets must get for it, as KEY=CUSTOMER or KEY; may be repeated"},
 			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "requests per second"},
 			&cli.FloatFlag{Name: "claim-share", Value: 0.3, Usage: "share of requests that are claims"},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "how long to send requests"},
@@ -51,6 +53,7 @@
 		Host:        c.String("host"),
 		MaxInFlight: c.Int("in-flight"),
 		Seed:        c.Uint64("seed"),
+		Credentials: parseCredentials(c.StringSlice("key")),
 	})
 	defer closeGenerator()
 	report := generator.Run(ctx)
@@ -65,11 +68,20 @@
 		return err
 	}
 	if !report.IsCorrect() {
-		return errors.New("a guarantee was violated: the report above has claims executed more than once, or requests that were answered but not executed, got a wrong response, were refused but executed, or started after the drain")
+		return errors.New("a guarantee was violated: the report above has claims executed more than once, or requests that were answered but not executed, got a wrong response, were refused but executed, started after the drain, or reached a target with a wrong customer or a key")
 	}
 	return nil
 }
 
+// parseCredentials parses the values of --key.
+func parseCredentials(values []string) (credentials []caller.Credential) {
+	for _, v := range values {
+		key, customer, _ := strings.Cut(v, "=")
+		credentials = append(credentials, caller.Credential{Key: key, Customer: customer})
+	}
+	return credentials
+}
+
 func printReport(c *cli.Command, report caller.Report) error {
 	if c.String("output") == "json" {
 		return json.NewEncoder(c.Root().Writer).Encode(report)
--- a/process/follower/current.go
+++ b/process/follower/current.go
@@ -70,6 +70,6 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.logger.Info("configuration applied", "version", offered.Version, "before", before, "source", source,
-		"routes", offered.RouteCount())
+		"routes", offered.RouteCount(), "customers", offered.Customers().Len())
 	return nil
 }
--- /dev/null
+++ b/process/gate/customers.go
@@ -0,0 +1,21 @@
+package gate
+
+import (
+	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+)
+
+// RefuseCustomers refuses the queued requests of the customers for which isRemoved returns
+// true. Entries do the same for single keys, but a gate may learn of the removal first, and
+// an entry cannot tell whether a read in another region is still queued. Requests that run
+// are not interrupted.
+func (g *Gate) RefuseCustomers(isRemoved func(name string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.refuseIf(func(req hopheader.Request) *outcome.Problem {
+		if req.Customer == "" || !isRemoved(req.Customer) {
+			return nil
+		}
+		return outcome.Refused(outcome.CodeUnauthorized, "the customer has been removed")
+	})
+}
--- a/process/node/http.go
+++ b/process/node/http.go
@@ -55,6 +55,7 @@
 	Suspected     bool   `json:"target_suspect"`
 	Outstanding   int    `json:"target_busy"`
 	Slots         int    `json:"target_slots"`
+	Customers     int    `json:"customers"`
 }
 
 // newMetricsHandler returns the handler of the metrics address.
@@ -67,6 +68,7 @@
 			Node: n.settings.Name, StartedAt: n.startedAt.UnixMilli(), Ready: n.isReady(), Leaving: n.isLeaving.Load(),
 			Configuration: n.configuration.Configuration().Version, Nodes: len(n.view.Nodes()),
 			GateOpen: s.Accepting, Suspected: s.Suspected, Outstanding: s.Outstanding, Slots: s.Slots,
+			Customers: n.configuration.Configuration().Customers().Len(),
 		})
 	})
 	return e
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -21,6 +21,9 @@
 	m.set.NewGauge("cuminwheel_configuration_version", func() float64 {
 		return float64(n.configuration.Configuration().Version)
 	})
+	m.set.NewGauge("cuminwheel_configuration_customers", func() float64 {
+		return float64(n.configuration.Configuration().Customers().Len())
+	})
 	m.set.NewGauge("cuminwheel_known_nodes", func() float64 { return float64(len(n.view.Nodes())) })
 	m.set.NewGauge("cuminwheel_target_busy", func() float64 { return float64(n.gate.State().Outstanding) })
 	m.set.NewGauge("cuminwheel_body_bytes", func() float64 { return float64(n.bodies.Used()) })
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -140,6 +140,7 @@
 		follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration")).Run(ctx)
 	})
 	n.startTask(func() { n.gossiper.Run(ctx) })
+	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
 	reverted := n.platform.Registry.Reverted()
 	n.startTask(func() { n.restoreRecords(ctx, reverted) })
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -132,6 +132,8 @@
 		"requests refused but executed":        r.Caller.FalseNotRun + r.AfterFaults.FalseNotRun,
 		"responses truncated or not their own": r.Caller.Invalid + r.AfterFaults.Invalid,
 		"requests started after the drain":     r.Caller.StartedAfterDrain,
+		"wrong customers at targets":           r.Caller.WrongCustomer,
+		"keys at targets":                      r.Caller.KeysForwarded,
 	} {
 		if count > 0 {
 			f.recordViolation("%s: %d", violation, count)
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -54,14 +54,19 @@
 	// StartedAfterDrain counts requests that a target started although the node had
 	// confirmed its drain.
 	StartedAfterDrain int `json:"late"`
+	// WrongCustomer counts requests that a target got with another customer than that of
+	// their key, KeysForwarded those that it got with a key.
+	WrongCustomer int `json:"wrong_customer"`
+	KeysForwarded int `json:"keys_forwarded"`
 }
 
 // IsCorrect reports whether all guarantees hold: no claim was executed more than once,
 // no request was answered without being executed or reported as not run although it
-// was executed, no response was invalid, and no request started after a drain. A
-// request without a response violates none.
+// was executed, no response was invalid, no request started after a drain, and targets
+// got the right customers and no keys. A request without a response violates none.
 func (r Report) IsCorrect() bool {
-	return r.Duplicated == 0 && r.AnsweredWithoutRun == 0 && r.Invalid == 0 && r.FalseNotRun == 0 && r.StartedAfterDrain == 0
+	return r.Duplicated == 0 && r.AnsweredWithoutRun == 0 && r.Invalid == 0 && r.FalseNotRun == 0 && r.StartedAfterDrain == 0 &&
+		r.WrongCustomer == 0 && r.KeysForwarded == 0
 }
 
 const microsPerMilli = 1000
@@ -82,6 +87,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.StartedAfterDrain = executions[target.StartedAfterDrainID]
+	r.WrongCustomer = executions[target.WrongCustomerID]
+	r.KeysForwarded = executions[target.KeyForwardedID]
 	for id, result := range g.resultsByID {
 		if result.isClaim {
 			r.Claims++
@@ -131,6 +138,7 @@
 		{"p50 ms", r.P50Millis}, {"p99 ms", r.P99Millis}, {"max ms", r.MaxMillis},
 		{"claims", r.Claims}, {"claims executed more than once", r.Duplicated}, {"answered but not executed", r.AnsweredWithoutRun},
 		{"executed without response", r.RanWithoutResponse}, {"refused but executed", r.FalseNotRun}, {"started after the drain", r.StartedAfterDrain},
+		{"wrong customer at a target", r.WrongCustomer}, {"keys at a target", r.KeysForwarded},
 	}
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -53,6 +53,8 @@
 	headerNotExecuted      = "Cuminwheel-Not-Executed"
 	headerServerLoad       = "Cuminwheel-Server-Load"
 	headerInstanceID       = "Cuminwheel-Instance-Id"
+	headerKey              = "Cuminwheel-Key"
+	headerCustomer         = "Cuminwheel-Tenant-Id"
 	headerRequestLimit     = "Server-Limit"
 	headerLeaving          = "Server-Leaving"
 )
@@ -133,6 +135,7 @@
 	}
 	f := s.currentFaults()
 	s.auditArrival()
+	s.auditIdentity(r)
 	id := r.Header.Get(headerRequestID)
 	h := w.Header()
 	h.Set(headerRequestID, id)
