--- a/operator/publication.go
+++ b/operator/publication.go
@@ -33,6 +33,18 @@
 	return p
 }
 
+// Customer is a customer of a configuration. Its callers identify themselves by one of its
+// keys.
+type Customer = configuration.DraftCustomer
+
+// WithCustomer returns a copy with the customer added. With any customer, requests need a
+// key, except those of public routes.
+func (p Publication) WithCustomer(c Customer) Publication {
+	c.Keys = slices.Clone(c.Keys)
+	p.draft.Customers = append(slices.Clip(p.draft.Customers), c)
+	return p
+}
+
 // Print checks the configuration and writes it to w in JSON. If the configuration
 // is invalid, Print writes nothing and returns a *configuration.ValidationError,
 // which lists each invalid field by its path.
@@ -74,6 +86,18 @@
 	return r
 }
 
+// WithPublic returns a copy whose requests need no key.
+func (r Route) WithPublic() Route {
+	r.route.Public = true
+	return r
+}
+
+// WithBulk returns a copy with large bodies. Requests of an upload route run at most once.
+func (r Route) WithBulk(b configuration.Bulk) Route {
+	r.route.Bulk = b
+	return r
+}
+
 // WithMaxAttempts returns a copy whose requests may be sent to up to n targets, one
 // after the other.
 func (r Route) WithMaxAttempts(n int) Route {
--- a/operator/publication_test.go
+++ b/operator/publication_test.go
@@ -18,6 +18,8 @@
 		publication = publication.WithService(name).WithRoute(NewRoute("r-"+name, "mill.example", "/"+name+"/", 3*time.Second).
 			WithPart(name, 1).WithMaxAttempts(2).WithNeverRepeat())
 	}
+	publication = publication.WithCustomer(Customer{Name: "acme", Keys: []string{"k"}, Priority: 1, RequestsPerSecond: 2, Burst: 3}).
+		WithRoute(NewRoute("up", "mill.example", "/up/", time.Second).WithPart("signbook", 1).WithBulk(configuration.BulkUpload).WithPublic())
 	var printed strings.Builder
 	is.NoErr(publication.Print(&printed))
 	draft, err := configuration.ReadDraft(strings.NewReader(printed.String()))
@@ -34,6 +36,10 @@
 	is.Equal(len(base.draft.Services), 1)
 	is.Equal(left.draft.Services[1].Name, "b")
 	is.Equal(right.draft.Services[1].Name, "c")
+	keys := []string{"k"}
+	customer := NewPublication(1).WithCustomer(Customer{Name: "a", Keys: keys})
+	keys[0] = "changed"
+	is.Equal(customer.draft.Customers[0].Keys[0], "k")
 	route := NewRoute("r", "h", "/", time.Second).WithPart("a", 1)
 	extended := route.WithPart("b", 1)
 	is.Equal(len(route.route.WeightedServices), 1)
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -216,7 +216,7 @@
 			hedgeTimer = time.AfterFunc(time.Duration(hedgeDelayShare*float64(time.Until(c.deadline))), func() { onHedgeDue(false) })
 		}
 	}
-	awaitsGrant := needsGrant(c.route.Idempotent, to.tier)
+	awaitsGrant := needsGrant(c.route.Idempotent, to.tier) || c.customer.Name != "" && outgoing.QueueDeadline.Sub(now) > maxUngrantedWait
 	granted := !awaitsGrant
 	stopKeyWatch := func() {}
 	if awaitsGrant && c.customer.Name != "" {
--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -2,6 +2,10 @@
 // one to a gate that grants it a slot. The node serves its caller listener with
 // Entry.Serve.
 //
+// If the configuration has customers, a request first needs a known key, unless its route
+// is public (authentication.go). key_watch.go withdraws the requests that await a grant
+// when their key is removed. Nothing of the key leaves the entry.
+//
 // Each gate of a service is a candidate. Its state is what it last reported with
 // a response: whether it accepts requests, whether its target is suspected, its
 // load and its last success. Reported states expire. A gate that cannot be reached is
--- a/process/entry/key_watch.go
+++ b/process/entry/key_watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
@@ -11,6 +12,11 @@
 // errKeyRemoved is the cause with which an attempt is cancelled whose key has been removed.
 var errKeyRemoved = errors.New("the key of the request has been removed")
 
+// maxUngrantedWait bounds how long a request of a customer may queue at a gate that it does
+// not await a grant of. The entry cannot withdraw it when its key is removed, so it may run
+// that much later. Longer waits are worth the round trip of the grant.
+const maxUngrantedWait = 200 * time.Millisecond
+
 // keyWatch cancels the attempts that await a gate's grant when a new configuration no
 // longer has their keys. Its goroutine starts with the first such attempt, so that there
 // is none without customers.
