entry: choose gates by package balance if the configuration asks for even load

Cause: with many nodes the lowest-cost selection overruns the gates of low rank.

Change: with balancing = even (read once per request, with the route) runPass lets package balance choose. Candidates keep when their requests in flight were sent, the round-trip time (connect time, or the time of an immediate grant or refusal) and the pace per route; all are measured from requests that flow anyway. New metrics: load spread, age of the knowledge used, choices that a gate refused.

--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +43,9 @@
 	// rank is the gate's position among the gates of its service and data
 	// centre, from 0.
 	rank int
-	pool *http1.Pool
+	// dataCentre numbers the gate's data centre among those of all gates.
+	dataCentre uint8
+	pool       *http1.Pool
 	// notices remembers what the gate's target has said about itself.
 	notices *notices
 	// ctx ends when the candidate is closed.
@@ -52,7 +55,10 @@
 	mu              sync.Mutex
 	state           hopheader.GateState
 	stateReceivedAt time.Time
-	inFlight        int
+	// sent holds when the entry's requests in flight were sent.
+	sent []time.Time
+	// measured is what even balancing knows of the gate besides its state.
+	measured measurements
 	// unreachable means that the gate could not be reached and has not reported
 	// a state since; probing means that a goroutine probes it.
 	unreachable bool
@@ -84,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := snapshot{tier: c.tier, rank: c.rank, unreachable: c.unreachable, stateAge: now.Sub(c.stateReceivedAt), sinceSuccess: now.Sub(c.state.LastSuccessAt)}
-	outstanding, slots := c.inFlight, 1
+	outstanding, slots := len(c.sent), 1
 	if s.stateAge < stateTTL {
 		s.notAccepting = !c.state.Accepting
 		s.suspected = c.state.Suspected
@@ -107,17 +113,19 @@
 	c.rank = rank
 }
 
-// startRequest and finishRequest count the entry's requests in flight.
-func (c *candidate) startRequest() {
+// startRequest and finishRequest record the entry's requests in flight.
+func (c *candidate) startRequest(sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight++
+	c.sent = append(c.sent, sentAt)
 }
 
-func (c *candidate) finishRequest() {
+func (c *candidate) finishRequest(sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight--
+	if i := slices.Index(c.sent, sentAt); i >= 0 {
+		c.sent = slices.Delete(c.sent, i, i+1)
+	}
 }
 
 // updateState stores the state that the gate reported and marks the gate
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -24,16 +24,19 @@
 	region     string
 	bodies     *http1.BodyBudget
 	notices    *notices
+	works      *workMeans
 
 	mu sync.Mutex
 	// version is the version of nodes that the maps were built from.
 	version   uint64
 	byService map[string][]*candidate
 	byRecord  map[membership.Record]*candidate
+	// dataCentres numbers the data centres.
+	dataCentres map[string]uint8
 }
 
 func newDirectory(n NodeSource, dataCentre, region string, bodies *http1.BodyBudget) *directory {
-	return &directory{nodes: n, dataCentre: dataCentre, region: region, bodies: bodies, notices: newNotices()}
+	return &directory{nodes: n, dataCentre: dataCentre, region: region, bodies: bodies, notices: newNotices(), works: newWorkMeans(), dataCentres: map[string]uint8{}}
 }
 
 // candidates returns the gates of a service. It first rebuilds the directory if
@@ -81,10 +84,15 @@
 	case r.Region == d.region:
 		t = tierRegion
 	}
+	number, ok := d.dataCentres[r.DataCentre]
+	if !ok {
+		number = uint8(len(d.dataCentres))
+		d.dataCentres[r.DataCentre] = number
+	}
 	pool, closePool := http1.NewPool(r.GateAddress, dialTimeouts[t])
 	pool.SetBodyBudget(d.bodies)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &candidate{node: r.ControlAddress, address: r.GateAddress, tier: t, pool: pool, notices: d.notices, ctx: ctx, close: func() {
+	return &candidate{node: r.ControlAddress, address: r.GateAddress, tier: t, dataCentre: number, pool: pool, notices: d.notices, ctx: ctx, close: func() {
 		cancel()
 		closePool()
 	}}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -127,7 +127,13 @@
 		isExcluded := func(i int) bool {
 			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest) || snapshots[i].admitsAt.After(latest)
 		}
-		i := p.selectGate(snapshots, isExcluded, requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}, rand.Float64)
+		traits := requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}
+		i := -1
+		if s.call.even {
+			i = e.chooseEvenly(s.call, p, candidates, isExcluded, traits, now)
+		} else {
+			i = p.selectGate(snapshots, isExcluded, traits, rand.Float64)
+		}
 		if i < 0 {
 			return false
 		}
@@ -164,17 +170,20 @@
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
-	to.startRequest()
+	to.startRequest(now)
 	var hedge sync.Once
 	resp, retryCharged, problem := e.sendToGate(ctx, c, to, outgoing, func(retryCharged bool) {
 		hedge.Do(func() { s.results <- result{hedgeDue: true, retryCharged: retryCharged} })
 	})
-	to.finishRequest()
+	to.finishRequest(now)
 	code := outcome.Code("answered")
 	if problem != nil {
 		code = problem.Code
 	}
 	e.options.Meter.RecordGateAttempt(to.tier.String(), code)
+	if c.even && problem != nil && problem.Outcome == outcome.NotRun {
+		e.options.Meter.RecordOverruledChoice(c.service, code)
+	}
 	e.options.Logger.Info("gate attempt completed", "request", c.id, "service", c.service, "gate", to.address,
 		"tier", to.tier, "load", snap.load, "suspect", snap.suspected, "belief_age_ms", min(snap.stateAge, time.Hour).Milliseconds(),
 		"ask", s.gateAttempts, "repeat", outgoing.IsRetry, "paid", outgoing.RetryCharged, "may_fail", outgoing.CanRetry, "outcome", code,
@@ -196,12 +205,14 @@
 func (e *Entry) sendToGate(ctx context.Context, c *call, to *candidate, outgoing hopheader.Request, onHedgeDue func(retryCharged bool)) (resp *http1.Response, retryCharged bool, p *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	timing := attemptTiming{startedAt: time.Now()}
 	conn, err := to.pool.Get(ctx, maxConnectionIdle)
 	if err != nil {
 		return nil, false, e.recordUnreachable(to, err)
 	}
 	defer to.pool.Put(conn)
 	now := time.Now()
+	timing.connected(!conn.Reused, now, outgoing.QueueDeadline)
 	silenceTimer := time.AfterFunc(outgoing.QueueDeadline.Sub(now)+silenceTimeouts[to.tier], func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	var hedgeTimer *time.Timer
@@ -227,6 +238,7 @@
 		},
 	}, e.options.Headers.ResponseRequestID, func() {
 		granted = true
+		timing.grantedAt = time.Now()
 		startHedgeTimer()
 	})
 	if hedgeTimer != nil {
@@ -240,6 +252,9 @@
 		return nil, false, outcome.Failed(outcome.CodeGateConnectionLost, "%v", err)
 	}
 	to.updateState(meta.State, time.Now())
+	if c.even {
+		e.directory.recordTiming(c, to, timing, meta.Problem, resp.Status, time.Now())
+	}
 	if meta.Problem != nil {
 		return nil, meta.RetryCharged, meta.Problem
 	}
--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -22,6 +22,11 @@
 // attempt goes on, when its gate reports that it has stalled or when half of its time
 // is over.
 //
+// If the configuration asks for even balancing, package balance chooses the gates
+// instead of the lowest cost in selection.go. Its knowledge (even.go) is the states that
+// gates report, the entry's own requests, and the pace of each target and the round-trip
+// time to each gate, measured from the requests.
+//
 // Decisions are kept apart from I/O. selection.go chooses the next gate and the
 // time that the request may wait there, candidate.go tracks the state of a gate
 // and its expiry, and dispatch_state.go tracks one request. dispatch.go and
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -46,6 +46,13 @@
 	RecordEntryRequest(route string, code outcome.Code, took time.Duration)
 	// RecordGateAttempt records an attempt at a gate of the given tier.
 	RecordGateAttempt(tier string, code outcome.Code)
+	// RecordEvenChoice records a choice of even balancing: the load of the busiest
+	// gate relative to the mean, as known, and the age of what is known of the chosen
+	// one.
+	RecordEvenChoice(service string, spread float64, age time.Duration)
+	// RecordOverruledChoice records that a gate that even balancing chose refused the
+	// request.
+	RecordOverruledChoice(service string, code outcome.Code)
 }
 
 // Quarantine knows the requests that crash targets.
@@ -101,7 +108,9 @@
 	configurationVersion uint64
 	route                configuration.Route
 	service              string
-	deadline             time.Time
+	// even means that even balancing chooses the gates.
+	even     bool
+	deadline time.Time
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -180,6 +189,7 @@
 		return c, outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
 	}
 	c.route = route
+	c.even = current.Modes().IsEven()
 	c.service = route.PickService(e.nextSplitPoint(route))
 	latest := in.ReceivedAt.Add(route.Timeout)
 	if c.deadline.IsZero() || latest.Before(c.deadline) {
--- a/process/entry/fakes_test.go
+++ b/process/entry/fakes_test.go
@@ -28,6 +28,8 @@
 
 func (discardMeter) RecordEntryRequest(string, outcome.Code, time.Duration) {}
 func (discardMeter) RecordGateAttempt(string, outcome.Code)                 {}
+func (discardMeter) RecordEvenChoice(string, float64, time.Duration)        {}
+func (discardMeter) RecordOverruledChoice(string, outcome.Code)             {}
 
 type staticNodes []membership.Record
 
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -51,6 +51,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_asks_total{tier=%q,code=%q}`, tier, code)).Inc()
 }
 
+// RecordEvenChoice records a choice of even balancing.
+func (m *meter) RecordEvenChoice(service string, spread float64, age time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`cuminwheel_load_spread{service=%q}`, service)).Update(spread)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`cuminwheel_knowledge_age_seconds{service=%q}`, service)).Update(age.Seconds())
+}
+
+// RecordOverruledChoice records a choice of even balancing that the gate refused.
+func (m *meter) RecordOverruledChoice(service string, code outcome.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_overruled_choices_total{service=%q,code=%q}`, service, code)).Inc()
+}
+
 // RecordGateRequest records a request that the gate has served or refused.
 func (m *meter) RecordGateRequest(code outcome.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_gate_requests_total{code=%q}`, code)).Inc()
