--- a/process/balance/fleet_test.go
+++ b/process/balance/fleet_test.go
@@ -72,9 +72,9 @@
 }
 
 type job struct {
-	node, target, attempts int
-	arrivedAt, sentAt      time.Duration
-	tried                  []int
+	node, target      int
+	arrivedAt, sentAt time.Duration
+	tried             []int
 }
 
 type eventQueue []event
--- a/process/entry/even_test.go
+++ b/process/entry/even_test.go
@@ -74,7 +74,7 @@
 		for i := range list {
 			list[i] = snapshot{
 				tier: tier(random.IntN(3)), rank: random.IntN(12), unreachable: random.IntN(8) == 0, notAccepting: random.IntN(8) == 0,
-				suspected: random.IntN(4) == 0, load: float64(random.IntN(16)) / 8,
+				suspected: random.IntN(4) == 0, load: 2 * random.Float64(),
 				sinceSuccess: time.Duration(random.IntN(9000)) * time.Millisecond, stateAge: time.Duration(random.IntN(1500)) * time.Millisecond,
 			}
 		}
@@ -140,6 +140,40 @@
 	}
 }
 
+// evenMeter counts what even balancing records.
+type evenMeter struct {
+	discardMeter
+	choices, overruled atomic.Int64
+}
+
+func (m *evenMeter) RecordEvenChoice(string, float64, time.Duration) { m.choices.Add(1) }
+func (m *evenMeter) RecordOverruledChoice(string, outcome.Code)      { m.overruled.Add(1) }
+
+// The metrics must tell choices that a gate refused from those that it served, and must
+// stay silent with the default balancing.
+func TestEvenChoicesAreRecorded(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		balancing          configuration.Balancing
+		behave             gateBehaviour
+		chooses, overrules bool
+	}{
+		{"served", configuration.BalancingEven, respondOK("a"), true, false},
+		{"refused", configuration.BalancingEven, refuseWith(outcome.CodeTargetFull), true, true},
+		{"default", configuration.BalancingLowestCost, refuseWith(outcome.CodeTargetFull), false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startLocalGates(t, 2, test.balancing, test.behave)
+			m := &evenMeter{}
+			f.entry.options.Meter = m
+			f.call(t, "/read/")
+			is.Equal(m.choices.Load() > 0, test.chooses)
+			is.Equal(m.overruled.Load() > 0, test.overrules)
+		})
+	}
+}
+
 // Requests that a gate's state cannot contain must be added to it. Otherwise a node
 // sends all requests of a burst to the gate that last reported the lowest load.
 func TestViewAddsRequestsSentSinceState(t *testing.T) {
