balance: move requests to another data centre only if it is better than all own gates

Cause: a choice between two random gates at each distance compared the farther one with two own gates only, so that chance moved requests between data centres with equal load (test TestEquallyLoadedDataCentresKeepTheirRequests failed). The mean of a data centre followed single reports.

Change: a farther gate is compared with the lowest cost of all nearer ones, and the mean of all gates counts like one report of each data centre. Large bodies go to another region only in the passes for it. A property test covers the limits of a choice.

--- a/process/balance/cost.go
+++ b/process/balance/cost.go
@@ -16,8 +16,8 @@
 	minPace, maxPace = 0.5, 2.5
 	// defaultWork is used until the duration of a route has been measured.
 	defaultWork = 50 * time.Millisecond
-	// defaultLoad is assumed in a data centre of which nothing is known, so that it is
-	// tried only when the own one has more load.
+	// defaultLoad is assumed in a data centre of which nothing is known, if the mean of
+	// the others is not lower, so that it is tried only when they have more load.
 	defaultLoad  = 0.5
 	defaultSlots = 4
 	// lossFactor is the cost of a failed request that cannot be retried, in units of its
@@ -102,7 +102,13 @@
 	}
 	m.overall = ratio(sum(m.load[:]), sum(weights[:]), defaultLoad)
 	for dc := range m.load {
-		m.load[dc] = ratio(m.load[dc], weights[dc], defaultLoad)
+		if weights[dc] > 0 {
+			// The mean of all gates counts like one report, so that the data centre does
+			// not look different because of a single target.
+			m.load[dc] = (m.load[dc] + m.overall) / (weights[dc] + 1)
+		} else {
+			m.load[dc] = min(defaultLoad, m.overall)
+		}
 		m.risk[dc] = ratio(m.risk[dc], riskWeights[dc], unhealthyShare/2)
 		if trips[dc] > 0 {
 			m.roundTrip[dc] = tripSums[dc] / time.Duration(trips[dc])
--- a/process/balance/selector.go
+++ b/process/balance/selector.go
@@ -11,7 +11,7 @@
 	// moveFactor is the share of the time at a nearer gate that the time at a farther
 	// one may take at most, and bulkFactor how much the fixed margins grow for bulk
 	// requests. Without a margin, requests would move back and forth on noise.
-	moveFactor = 0.7
+	moveFactor = 0.75
 	bulkFactor = 4
 )
 
@@ -36,39 +36,53 @@
 // Choose returns the index of the gate to send the request to, or -1 if there is none.
 // random returns numbers from 0 up to, but not including, 1.
 func (s Selector) Choose(views []View, r Request, random func() float64) int {
-	m := newMeans(views, r)
+	c := comparison{views: views, request: r, means: newMeans(views, r), choices: min(max(s.Choices, 1), maxChoices), random: random}
 	var usable, lastResort [distances]int
 	for i := range views {
 		v := &views[i]
-		switch m.classify(v, r) {
+		switch c.means.classify(v, r) {
 		case classUsable:
 			usable[v.Distance]++
 		case classLastResort:
 			lastResort[v.Distance]++
 		}
 	}
-	comparesAll := random() >= max(s.Explore, 1-m.overall)
-	if i := s.chooseAmong(views, r, &m, classUsable, &usable, comparesAll, random); i >= 0 {
+	c.all = random() >= max(s.Explore, 1-c.means.overall)
+	if i := c.chooseAmong(classUsable, usable); i >= 0 {
 		return i
 	}
-	return s.chooseAmong(views, r, &m, classLastResort, &lastResort, comparesAll, random)
+	return c.chooseAmong(classLastResort, lastResort)
+}
+
+// comparison compares gates for one request.
+type comparison struct {
+	views   []View
+	request Request
+	means   means
+	// all means that all gates are compared instead of choices random ones.
+	all     bool
+	choices int
+	random  func() float64
 }
 
 // chooseAmong returns the best gate of a class. Gates of a farther data centre must be
-// better by the margin.
-func (s Selector) chooseAmong(views []View, r Request, m *means, c class, counts *[distances]int, comparesAll bool, random func() float64) int {
+// better by a margin than all nearer ones, not only than those that are compared.
+// Otherwise chance would move requests. counts are the numbers of gates of the class.
+func (c *comparison) chooseAmong(k class, counts [distances]int) int {
 	best, lowest := -1, math.Inf(1)
-	for d := r.Nearest; d <= r.Farthest; d++ {
-		i, cost := s.chooseAt(views, r, m, c, d, counts[d], comparesAll, random)
+	for d := c.request.Nearest; d <= c.request.Farthest; d++ {
+		i, cost, lowestOfAll := c.chooseAt(k, d, counts[d])
 		if i < 0 {
 			continue
 		}
 		if best >= 0 {
-			cost = (cost + float64(moveMargin(d, r))) / moveFactor
+			margin := float64(moveMargin(d, c.request))
+			cost, lowestOfAll = (cost+margin)/moveFactor, (lowestOfAll+margin)/moveFactor
 		}
 		if cost < lowest {
-			best, lowest = i, cost
+			best = i
 		}
+		lowest = min(lowest, lowestOfAll)
 	}
 	return best
 }
@@ -80,50 +94,45 @@
 	return moveMargins[d]
 }
 
-// chooseAt returns the best of all or of a few random gates of a class and distance, and
-// of the gates there that are due for a trial. count is the number of gates of the class.
-func (s Selector) chooseAt(views []View, r Request, m *means, c class, d Distance, count int, comparesAll bool, random func() float64) (best int, lowest float64) {
-	best, lowest = -1, math.Inf(1)
+// chooseAt returns the best compared gate of a class and distance, and the lowest cost of
+// all gates there. Gates that are due for a trial are always compared.
+func (c *comparison) chooseAt(k class, d Distance, count int) (best int, lowest, lowestOfAll float64) {
+	best, lowest, lowestOfAll = -1, math.Inf(1), math.Inf(1)
 	var samples [maxChoices]int
-	n := min(max(s.Choices, 1), maxChoices)
 	if count > 0 {
-		for k := range n {
-			samples[k] = int(random() * float64(count))
+		for j := range c.choices {
+			samples[j] = int(c.random() * float64(count))
 		}
 	}
 	position, ties := 0, 0
-	for i := range views {
-		v := &views[i]
+	for i := range c.views {
+		v := &c.views[i]
 		if v.Distance != d {
 			continue
 		}
-		switch m.classify(v, r) {
-		case c:
-			isCompared := comparesAll || contains(samples[:n], position)
+		isCompared := true
+		switch class := c.means.classify(v, c.request); {
+		case class == k:
+			isCompared = c.all || contains(samples[:c.choices], position)
 			position++
-			if !isCompared {
-				continue
-			}
-		case classTrial:
-			if c != classUsable {
-				continue
-			}
-		default:
+		case class != classTrial || k != classUsable:
 			continue
 		}
-		cost := float64(m.cost(v, r).Total())
-		if cost == lowest {
+		cost := float64(c.means.cost(v, c.request).Total())
+		lowestOfAll = min(lowestOfAll, cost)
+		switch {
+		case !isCompared || cost > lowest:
+		case cost < lowest:
+			best, lowest, ties = i, cost, 1
+		default:
 			// Gates of which nothing is known have equal costs.
 			ties++
-			if random()*float64(ties) < 1 {
+			if c.random()*float64(ties) < 1 {
 				best = i
 			}
 		}
-		if cost < lowest {
-			best, lowest, ties = i, cost, 1
-		}
 	}
-	return best, lowest
+	return best, lowest, lowestOfAll
 }
 
 // contains reports whether a short list has x. It is inlined, unlike slices.Contains.
--- a/process/balance/selector_test.go
+++ b/process/balance/selector_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 const fresh = 10 * time.Millisecond
@@ -125,6 +127,69 @@
 	is.True(n > 180) // at least a quarter of the requests compares two random gates, both of which are this one in a ninth of the cases
 }
 
+// Whatever is known, a choice must respect the limits: no excluded gate, no claim to a
+// suspected target, no full gate of another region, and a healthy gate of the own data
+// centre is never passed over for none.
+func TestChoiceRespectsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		views := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) View {
+			return View{
+				Distance: Distance(rapid.IntRange(0, 2).Draw(t, "distance")), DataCentre: rapid.Byte().Draw(t, "data_centre"),
+				Excluded: rapid.Bool().Draw(t, "excluded"), Unavailable: rapid.Bool().Draw(t, "unavailable"), Suspected: rapid.Bool().Draw(t, "suspected"),
+				Outstanding: rapid.IntRange(0, 50).Draw(t, "outstanding"), Slots: rapid.IntRange(0, 20).Draw(t, "slots"), SentSince: rapid.IntRange(0, 9).Draw(t, "sent"),
+				Age: duration(t, "age"), SinceSuccess: duration(t, "success"), Pace: rapid.Float64Range(0, 100).Draw(t, "pace"), PaceAge: duration(t, "pace_age"),
+				RoundTrip: duration(t, "round_trip"),
+			}
+		}), 0, 12).Draw(t, "views")
+		r := Request{
+			CanRetry: rapid.Bool().Draw(t, "can_retry"), Bulk: rapid.Bool().Draw(t, "bulk"), Work: duration(t, "work"), Remaining: duration(t, "remaining"),
+			Farthest: Distance(rapid.IntRange(0, 2).Draw(t, "farthest")), IncludeUnhealthy: rapid.Bool().Draw(t, "unhealthy"),
+		}
+		r.NonIdempotent = !r.CanRetry && rapid.Bool().Draw(t, "claim")
+		i := Default.Choose(views, r, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)).Float64)
+		if i < 0 {
+			for _, v := range views {
+				if !v.Excluded && !v.Unavailable && !v.Suspected && v.Distance == DataCentre {
+					t.Fatalf("no choice in spite of %+v", v)
+				}
+			}
+			return
+		}
+		v := views[i]
+		isFull := v.Slots > 0 && v.Age == 0 && v.Outstanding >= v.Slots
+		switch {
+		case v.Excluded, v.Distance > r.Farthest,
+			v.Suspected && !v.Unavailable && r.NonIdempotent,
+			v.Distance == Remote && (v.Suspected || isFull),
+			(v.Unavailable || v.Suspected && !r.CanRetry) && !r.IncludeUnhealthy:
+			t.Fatalf("chose %+v for %+v", v, r)
+		}
+	})
+}
+
+func duration(t *rapid.T, name string) time.Duration {
+	return rapid.SampledFrom([]time.Duration{0, time.Millisecond, 50 * time.Millisecond, time.Second / 2, time.Second, time.Hour, math.MaxInt64}).Draw(t, name)
+}
+
+// Equally loaded data centres must not exchange requests: that costs traffic and, with
+// stale knowledge, sends the load back and forth.
+func TestEquallyLoadedDataCentresKeepTheirRequests(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	moved := 0
+	for range 2000 {
+		views := make([]View, 20)
+		for i := range views {
+			views[i] = gate(Distance(i%2), random.IntN(4))
+			views[i].Age = time.Duration(random.IntN(1500)) * time.Millisecond
+		}
+		if i := Default.Choose(views, read, random.Float64); views[i].Distance != DataCentre {
+			moved++
+		}
+	}
+	is.True(moved < 100) // a twentieth
+}
+
 // The parts of a cost must explain the choice: the gate with the lower total is chosen.
 func TestCostHasItsParts(t *testing.T) {
 	is := is.New(t)
--- a/process/entry/even.go
+++ b/process/entry/even.go
@@ -178,7 +178,7 @@
 
 // chooseEvenly returns the index of the gate to try next, or -1. The first pass reaches
 // the gates of other regions too, so that work moves there before the own region is
-// full.
+// full. Large bodies are left out of that, because regions share a narrow link.
 func (e *Entry) chooseEvenly(c *call, p selectionPass, candidates []*candidate, isExcluded func(int) bool, r requestTraits, now time.Time) int {
 	route := routeHash(c.route)
 	views := make([]balance.View, len(candidates))
@@ -187,11 +187,12 @@
 		views[i].Excluded = isExcluded(i)
 	}
 	farthest := p.farthest
-	if p.queueTimeout(c.targetLatency(), c.deadline.Sub(now)) == 0 {
+	isBulk := c.route.Bulk != ""
+	if p.queueTimeout(c.targetLatency(), c.deadline.Sub(now)) == 0 && !isBulk {
 		farthest = tierRemote
 	}
 	i := balance.Default.Choose(views, balance.Request{
-		CanRetry: r.canRetry, NonIdempotent: r.nonIdempotent, Bulk: c.route.Bulk != "", Work: e.directory.works.mean(workKey{c.service, route}),
+		CanRetry: r.canRetry, NonIdempotent: r.nonIdempotent, Bulk: isBulk, Work: e.directory.works.mean(workKey{c.service, route}),
 		Remaining: c.deadline.Sub(now), Nearest: balance.Distance(p.nearest), Farthest: balance.Distance(farthest), IncludeUnhealthy: p.includeUnhealthy,
 	}, rand.Float64)
 	if i >= 0 {
--- a/process/entry/even_test.go
+++ b/process/entry/even_test.go
@@ -296,3 +296,42 @@
 	is.True(len(to.measured.paces) <= maxRoutes)
 	is.True(len(d.works.means) <= maxRoutes)
 }
+
+// Small requests must move to a region with free slots before their own one is full;
+// large bodies must not, because the link between regions is shared by all traffic.
+func TestSmallRequestsMoveBetweenRegions(t *testing.T) {
+	const slots = 4
+	tests := []struct {
+		name   string
+		bulk   configuration.Bulk
+		load   int
+		pass   int
+		wanted string
+	}{
+		{"own region has free slots", "", 1, 0, "own"},
+		{"own region is nearly full", "", slots - 1, 0, "remote"},
+		{"large response", configuration.BulkDownload, slots - 1, 0, "own"},
+		{"large response in the pass for other regions", configuration.BulkDownload, slots, 3, "remote"},
+		{"no other region while the request queues", "", slots, 1, "own"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			own, remote := &candidate{tier: tierDataCentre, notices: newNotices()}, &candidate{tier: tierRemote, dataCentre: 1, notices: newNotices()}
+			own.recordRoundTrip(time.Millisecond)
+			remote.recordRoundTrip(16 * time.Millisecond)
+			own.updateState(hopheader.GateState{Accepting: true, Outstanding: test.load, Slots: slots}, now)
+			remote.updateState(hopheader.GateState{Accepting: true, Slots: slots}, now)
+			e := newEntry(t, nil)
+			c := &call{
+				service: "s", route: configuration.Route{Idempotent: true, Bulk: test.bulk, TargetLatency: 600 * time.Millisecond},
+				in: &http1.IncomingRequest{ReceivedAt: now}, deadline: now.Add(time.Second),
+			}
+			list := []*candidate{own, remote}
+			i := e.chooseEvenly(c, selectionPasses[test.pass], list, func(int) bool { return false }, requestTraits{canRetry: true}, now)
+			is.True(i >= 0)
+			is.Equal(map[*candidate]string{own: "own", remote: "remote"}[list[i]], test.wanted)
+		})
+	}
+}
