--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -138,7 +138,13 @@
 		if !quarantinedUntil.IsZero() {
 			isExcluded = isNotElected(candidates, snapshots, s.call.fingerprint, round)
 		}
-		i := p.selectGate(snapshots, isExcluded, requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}, rand.Float64)
+		traits := requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}
+		i := -1
+		if s.call.even && quarantinedUntil.IsZero() {
+			i = e.chooseEvenly(s.call, p, candidates, isExcluded, traits, now)
+		} else {
+			i = p.selectGate(snapshots, isExcluded, traits, rand.Float64)
+		}
 		if i < 0 {
 			return false
 		}
@@ -193,17 +199,20 @@
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
-	to.startRequest()
+	to.startRequest(now)
 	var hedge sync.Once
 	resp, retryCharged, problem := e.sendToGate(ctx, c, to, outgoing, func(retryCharged bool) {
 		hedge.Do(func() { s.results <- result{hedgeDue: true, retryCharged: retryCharged} })
 	})
-	to.finishRequest()
+	to.finishRequest(now)
 	code := outcome.Code("answered")
 	if problem != nil {
 		code = problem.Code
 	}
 	e.options.Meter.RecordGateAttempt(to.tier.String(), code)
+	if c.even && problem != nil && problem.Outcome == outcome.NotRun {
+		e.options.Meter.RecordOverruledChoice(c.service, code)
+	}
 	e.options.Logger.Info("gate attempt completed", "request", c.id, "service", c.service, "gate", to.address,
 		"tier", to.tier, "load", snap.load, "suspect", snap.suspected, "belief_age_ms", min(snap.stateAge, time.Hour).Milliseconds(),
 		"ask", s.gateAttempts, "repeat", outgoing.IsRetry, "paid", outgoing.RetryCharged, "may_fail", outgoing.CanRetry, "outcome", code,
@@ -225,12 +234,14 @@
 func (e *Entry) sendToGate(ctx context.Context, c *call, to *candidate, outgoing hopheader.Request, onHedgeDue func(retryCharged bool)) (resp *http1.Response, retryCharged bool, p *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	timing := attemptTiming{startedAt: time.Now()}
 	conn, err := to.pool.Get(ctx, maxConnectionIdle)
 	if err != nil {
 		return nil, false, e.recordUnreachable(to, err)
 	}
 	defer to.pool.Put(conn)
 	now := time.Now()
+	timing.connected(!conn.Reused, now, outgoing.QueueDeadline)
 	silenceTimer := time.AfterFunc(outgoing.QueueDeadline.Sub(now)+silenceTimeouts[to.tier], func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	var hedgeTimer *time.Timer
@@ -266,6 +277,7 @@
 	}, e.options.Headers.ResponseRequestID, func() {
 		stopKeyWatch()
 		granted = true
+		timing.grantedAt = time.Now()
 		startHedgeTimer()
 	})
 	if hedgeTimer != nil {
@@ -280,6 +292,9 @@
 	}
 	to.updateState(meta.State, time.Now())
 	e.recordContact(to, true)
+	if c.even {
+		e.directory.recordTiming(c, to, timing, meta.Problem, resp.Status, time.Now())
+	}
 	if meta.Problem != nil {
 		return nil, meta.RetryCharged, meta.Problem
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -50,6 +50,13 @@
 	RecordEntryRequest(route string, code outcome.Code, took time.Duration)
 	// RecordGateAttempt records an attempt at a gate of the given tier.
 	RecordGateAttempt(tier string, code outcome.Code)
+	// RecordEvenChoice records a choice of even balancing: the load of the busiest
+	// gate relative to the mean, as known, and the age of what is known of the chosen
+	// one.
+	RecordEvenChoice(service string, spread float64, age time.Duration)
+	// RecordOverruledChoice records that a gate that even balancing chose refused the
+	// request.
+	RecordOverruledChoice(service string, code outcome.Code)
 }
 
 // Quarantine knows the requests that crash targets.
@@ -130,6 +137,8 @@
 	key string
 	// customer is that of the key; its name is empty if the request needs no key.
 	customer customer.Customer
+	// even means that even balancing chooses the gates.
+	even bool
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -231,6 +240,7 @@
 		return outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
 	}
 	c.route = route
+	c.even = current.Modes().IsEven()
 	customers := current.Customers()
 	if customers.Len() == 0 || route.Public {
 		return nil
