balance: the comparison covers targets that refuse every request

Change: fleet.shed, two more fleets and a test that holds refused arrivals under half of those of the lowest-cost selection.

--- a/process/balance/comparison_test.go
+++ b/process/balance/comparison_test.go
@@ -176,10 +176,12 @@
 	{nodes: 100, targets: 83, slots: 5, load: 0.8, slow: 0.2},
 	{nodes: 78, targets: 41, slots: 15, load: 0.1, slow: 0.2},
 	{nodes: 10, targets: 10, slots: 15, load: 0.06, slow: 0.2},
+	{nodes: 100, targets: 83, slots: 5, load: 0.5, slow: 0.2, shed: 0.3},
+	{nodes: 10, targets: 83, slots: 5, load: 0.5, slow: 0.2, shed: 0.3},
 }
 
 func (f fleet) String() string {
-	return fmt.Sprintf("nodes=%d/targets=%d/load=%g/delay=%v", f.nodes, f.targets, f.load, f.delay)
+	return fmt.Sprintf("nodes=%d/targets=%d/load=%g/shed=%g/delay=%v", f.nodes, f.targets, f.load, f.shed, f.delay)
 }
 
 // BenchmarkComparison prints the figures of docs/design/even-load.md:
--- a/process/balance/fleet_test.go
+++ b/process/balance/fleet_test.go
@@ -17,7 +17,10 @@
 	// delay is the additional time after which a node learns what a response reports.
 	delay time.Duration
 	// slow is the share of targets that take twice as long as the others.
-	slow     float64
+	slow float64
+	// shed is the share of targets that refuse every request. Their gates report them as
+	// full.
+	shed     float64
 	duration time.Duration
 	seed     uint64
 }
@@ -47,8 +50,8 @@
 	longestGap time.Duration
 }
 
-// chooser returns the gate for a request that arrived at a node. truth is the number of
-// requests at each target, for an oracle.
+// chooser returns the gate for a request that arrived at a node. truth is what each
+// gate would report now, for an oracle.
 type chooser func(node int, views []View, truth []int, random func() float64) int
 
 type eventKind int
@@ -133,7 +136,9 @@
 		if float64(i%10) < 10*f.slow {
 			r.paces[i] = 2
 		}
-		capacity += float64(f.slots) / r.paces[i]
+		if !r.sheds(i) {
+			capacity += float64(f.slots) / r.paces[i]
+		}
 	}
 	for range f.nodes {
 		r.beliefs = append(r.beliefs, make([]belief, f.targets))
@@ -210,7 +215,14 @@
 		v.Excluded = slices.Contains(j.tried, i)
 		r.views[i] = v
 	}
-	i := r.choose(j.node, r.views, r.busy, r.random.Float64)
+	truth := r.busy
+	if r.shed > 0 {
+		truth = make([]int, len(r.busy))
+		for i := range truth {
+			truth[i] = r.reported(i)
+		}
+	}
+	i := r.choose(j.node, r.views, truth, r.random.Float64)
 	if i < 0 || len(j.tried) >= fleetAttempts {
 		r.missed++
 		return
@@ -228,7 +240,7 @@
 	r.sentTo[t]++
 	r.longestGap = max(r.longestGap, now-r.lastAt[t])
 	r.lastAt[t] = now
-	if r.busy[t] < r.slots {
+	if r.busy[t] < r.slots && !r.sheds(t) {
 		r.busy[t]++
 		work := time.Duration((0.5 + 0.5*r.random.ExpFloat64()) * r.paces[t] * float64(fleetWork))
 		heap.Push(&r.events, event{at: now + work, kind: eventDone, job: j, work: work})
@@ -243,11 +255,22 @@
 	r.send(now+fleetTrip/2, j)
 }
 
+// sheds reports whether a target refuses every request.
+func (r *replay) sheds(target int) bool { return float64((target+5)%10) < 10*r.shed }
+
+// reported returns the outstanding requests that a target's gate reports.
+func (r *replay) reported(target int) int {
+	if r.sheds(target) {
+		return r.busy[target] + r.slots
+	}
+	return r.busy[target]
+}
+
 // report delivers the state of a target to a node.
 func (r *replay) report(now time.Duration, j *job, work time.Duration) {
 	heap.Push(&r.events, event{
 		at: now + fleetTrip/2 + r.delay, kind: eventReport, node: j.node, target: j.target, sentAt: j.sentAt,
-		outstanding: r.busy[j.target], takenAt: now, work: work,
+		outstanding: r.reported(j.target), takenAt: now, work: work,
 	})
 }
 
--- a/process/balance/selector_test.go
+++ b/process/balance/selector_test.go
@@ -218,6 +218,18 @@
 	is.True(after.p99 < before.p99)
 }
 
+// Targets that refuse everything look idle to a node that knows nothing of them, and their
+// refusals cost attempts. Guards the goal of half of the refused arrivals for that load.
+func TestShedTargetsAreAvoided(t *testing.T) {
+	for _, nodes := range []int{10, 100} {
+		is := is.New(t)
+		f := fleet{nodes: nodes, targets: 83, slots: 5, load: 0.5, slow: 0.2, shed: 0.3, duration: 4 * time.Second, seed: 7}
+		before, after := f.run(mixed(lowestCost(false), lowestCost(true))), f.run(even(Default))
+		is.True(after.refused < before.refused/2)
+		is.True(after.longestGap < 2*time.Second) // a target that has recovered must be noticed
+	}
+}
+
 // Delayed knowledge must not make nodes send their requests to the same gates: arrivals
 // are refused less often than with a random choice, up to a small tolerance when the
 // knowledge is worth nothing, and no target is without requests for 2 s.
