schedule, gate: adaptive concurrency limit and detection of shedding

A target that refused everything for 8 s was sent every request, each of which lost one of its two attempts within milliseconds. With the shared scheduling, the gate now keeps a limit between 1 and the slots: a refusal lowers it, successes raise it. A target that refuses a request while nothing else runs is shedding; it gets single requests after 200 ms, doubling up to 1.6 s, until it runs one. The others wait within their queue deadline or are refused as full with the time of the next request.

The test has the default scheduling as its control.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -85,7 +85,7 @@
 		isTrial = true
 	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
-	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
+	if g.hasFreeSlot(now) && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		gr := g.takeSlot(req, now, isTrial)
 		g.mu.Unlock()
 		return gr, nil
@@ -97,13 +97,13 @@
 		g.mu.Unlock()
 		return grant{}, refuseLimited(nextAt)
 	}
-	wait := estimateWait(work, g.target.durations.all, g.target.announced.Slots)
+	wait := g.queueOrder(now).expectedWait(work, isNext, g.slotLimit())
 	if now.Add(wait).After(req.QueueDeadline) {
 		g.mu.Unlock()
 		return grant{}, refuseFull(wait, now)
 	}
 	w := g.queue.push(req)
-	g.wakeForLimit(now)
+	g.wakeForLimits(now)
 	g.mu.Unlock()
 	return g.awaitDecision(ctx, w)
 }
@@ -118,7 +118,7 @@
 	case d := <-w.decisions:
 		return d.grant, d.problem
 	case <-timer.C:
-		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time").WithRetryAt(time.Now().Add(g.meanDuration()))
+		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time").WithRetryAt(g.capacityAt(time.Now()))
 	case <-ctx.Done():
 		p = outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
 	}
@@ -132,17 +132,10 @@
 	return d.grant, d.problem
 }
 
-// meanDuration returns the mean time that requests hold a slot.
-func (g *Gate) meanDuration() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.target.durations.all
-}
-
 // queueOrder returns the order of the queue at the given time. The caller holds
 // mu.
 func (g *Gate) queueOrder(now time.Time) queueOrder {
-	return queueOrder{now: now, durations: &g.target.durations}
+	return queueOrder{now: now, durations: &g.target.durations, delay: g.trialDelay(now)}
 }
 
 // takeSlot assigns a slot to the request and updates the retry budget. The caller
@@ -150,6 +143,7 @@
 func (g *Gate) takeSlot(req hopheader.Request, now time.Time, isTrial bool) grant {
 	g.target.inFlight++
 	g.target.restrictions.limiter.take(now)
+	g.target.limit.Start(now)
 	switch {
 	case req.RetryCharged:
 	case req.IsRetry:
@@ -182,21 +176,21 @@
 	if g.target.breaker.IsSuspected(now) {
 		g.queue.refuseIf(func(hopheader.Request) *outcome.Problem { return g.refuseSuspected() })
 	}
-	for g.target.inFlight < g.target.announced.Slots && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
+	for g.hasFreeSlot(now) && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		w := g.queue.pop(g.queueOrder(now), func(req hopheader.Request) bool { return g.checkAdmissible(req, now) == nil })
 		if w == nil {
 			return
 		}
 		w.decisions <- decision{grant: g.takeSlot(w.request, now, false)}
 	}
-	g.queue.refuseHopeless(g.queueOrder(now), g.target.announced.Slots)
-	g.wakeForLimit(now)
+	g.queue.refuseHopeless(g.queueOrder(now), g.slotLimit())
+	g.wakeForLimits(now)
 }
 
-// wakeForLimit arranges that waiters are dispatched when the target's limit admits the
+// wakeForLimits arranges that waiters are dispatched when the target's limits admit the
 // next one. The caller holds mu.
-func (g *Gate) wakeForLimit(now time.Time) {
-	nextAt := g.target.restrictions.limiter.nextAt(now, 0)
+func (g *Gate) wakeForLimits(now time.Time) {
+	nextAt := latest(g.target.restrictions.limiter.nextAt(now, 0), g.nextStartAt(now))
 	if nextAt.IsZero() || len(g.queue.waiters) == 0 {
 		return
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -10,6 +10,7 @@
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -53,6 +54,8 @@
 	// Quarantine gets the requests under which the target has crashed and says which
 	// must not be run.
 	Quarantine Quarantine
+	// Modes returns the modes of the active configuration; nil stands for the defaults.
+	Modes func() configuration.Modes
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// RetryRatio, RetrySlack and RetryWindow are the fleet-wide retry limit:
@@ -218,7 +221,10 @@
 	if now.Before(g.target.announced.WarmupEndsAt) {
 		s.Outstanding += warmupPenalty
 	}
-	if now.Sub(g.target.shedAt) < shedCooldown {
+	switch {
+	case g.isShared():
+		g.addLimit(&s, now)
+	case now.Sub(g.target.shedAt) < shedCooldown:
 		s.Outstanding += s.Slots
 	}
 	return s
@@ -273,6 +279,7 @@
 // holds mu.
 func (g *Gate) recordResult(gr grant, res result, now time.Time) {
 	wasSuspected := g.target.breaker.IsSuspected(now)
+	g.recordForLimit(gr, res, now)
 	switch res {
 	case resultSuccess:
 		g.target.breaker.RecordSuccess(now)
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -52,6 +52,17 @@
 type queueOrder struct {
 	now       time.Time
 	durations *durations
+	// delay is the time until a shedding target may get its next request.
+	delay time.Duration
+}
+
+// expectedWait returns the expected wait of a request until it gets a slot; work is the
+// total duration of the requests ahead of it.
+func (o queueOrder) expectedWait(work time.Duration, isNext bool, slots int) time.Duration {
+	if o.delay > 0 && isNext {
+		return o.delay
+	}
+	return o.delay + estimateWait(work, o.durations.all, slots)
 }
 
 // precedes reports whether a request ranks before another one that has waited
@@ -115,8 +126,9 @@
 	kept := make([]*waiter, 0, len(q.waiters))
 	for i, w := range q.waiters {
 		work, isNext := q.workAhead(w.request, i, o)
-		wait := estimateWait(work, o.durations.all, slots)
-		if isNext || float64(wait) <= earlyRefusalFactor*float64(w.request.QueueDeadline.Sub(o.now)) {
+		wait := o.expectedWait(work, isNext, slots)
+		left := w.request.QueueDeadline.Sub(o.now)
+		if isNext && (o.delay == 0 || o.delay <= left) || !isNext && float64(wait) <= earlyRefusalFactor*float64(left) {
 			kept = append(kept, w)
 			continue
 		}
--- /dev/null
+++ b/process/gate/shedding_test.go
@@ -0,0 +1,174 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/matryer/is"
+)
+
+// newSharedGate returns an open gate with the shared scheduling.
+func newSharedGate(t *testing.T, slots int) *Gate {
+	t.Helper()
+	g := newGate()
+	g.options.Modes = func() configuration.Modes {
+		return configuration.Modes{Scheduling: configuration.SchedulingShared}
+	}
+	a := announcement("i", 1000, 1)
+	a.Slots = slots
+	if err := g.Announce(a); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// shedReplay counts what becomes of the requests while a target sheds everything.
+type shedReplay struct {
+	mu sync.Mutex
+	// refused counts the requests that the target refused, full those that the gate
+	// refused, served those that were run. lateRefusals counts the refusals by the gate
+	// after the queue deadline, badRetryTimes those whose retry time lies before the next
+	// request to the target or unreasonably late.
+	refused, full, served       int
+	lateRefusals, badRetryTimes int
+	// recoveredAt is when the target first got a request after it recovered.
+	recoveredAt time.Time
+	lastSentAt  time.Time
+	longestGap  time.Duration
+}
+
+// sendOne sends a request that may wait for its slot for the given time.
+func (r *shedReplay) sendOne(t *testing.T, g *Gate, wait, duration time.Duration, recoversAt time.Time, sheds func(time.Time) bool) {
+	req := requestWithin(wait)
+	req.SoftDeadline = time.Now().Add(time.Second)
+	gr, p := g.admit(t.Context(), req)
+	now := time.Now()
+	r.mu.Lock()
+	if p != nil {
+		defer r.mu.Unlock()
+		if sheds(now) && p.Code == outcome.CodeTargetFull {
+			r.full++
+		}
+		if now.After(req.QueueDeadline) {
+			r.lateRefusals++
+		}
+		if p.RetryAt.Before(now) || p.RetryAt.After(now.Add(4*time.Second)) {
+			r.badRetryTimes++
+		}
+		return
+	}
+	r.longestGap = max(r.longestGap, now.Sub(r.lastSentAt))
+	r.lastSentAt = now
+	if sheds(now) {
+		r.refused++
+		r.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		g.release(gr, resultShed)
+		return
+	}
+	r.served++
+	if r.recoveredAt.IsZero() && !now.Before(recoversAt) {
+		r.recoveredAt = now
+	}
+	r.mu.Unlock()
+	time.Sleep(duration)
+	g.release(gr, resultSuccess)
+}
+
+// Guards against the largest loss of the heaviest days: a target that sheds everything
+// for 8 s refused thousands of requests, each of which lost an attempt. It must get only
+// single requests, and the others wait within their queue deadline or are refused as full
+// with a retry time. The recovery must be found within 1.6 s. The default scheduling, as
+// the control, must send the target more than ten times as many requests.
+func TestSheddingTargetKeepsAttempts(t *testing.T) {
+	const sheddingFrom, sheddingFor, after = 2 * time.Second, 8 * time.Second, 4 * time.Second
+	tests := []struct {
+		name     string
+		isShared bool
+		slots    int
+		rate     float64
+		duration time.Duration
+	}{
+		{"rides, default scheduling", false, 5, 40, 150 * time.Millisecond},
+		{"rides", true, 5, 40, 150 * time.Millisecond},
+		{"atlas, default scheduling", false, 15, 120, 60 * time.Millisecond},
+		{"atlas", true, 15, 120, 60 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newSharedGate(t, test.slots)
+				if !test.isShared {
+					g.options.Modes = nil
+				}
+				startedAt := time.Now()
+				recoversAt := startedAt.Add(sheddingFrom + sheddingFor)
+				sheds := func(now time.Time) bool {
+					return !now.Before(startedAt.Add(sheddingFrom)) && now.Before(recoversAt)
+				}
+				r := &shedReplay{lastSentAt: startedAt}
+				random := rand.New(rand.NewPCG(1, 2))
+				waits := []time.Duration{0, 250 * time.Millisecond, 700 * time.Millisecond}
+				var senders sync.WaitGroup
+				for i := 0; time.Since(startedAt) < sheddingFrom+sheddingFor+after; i++ {
+					time.Sleep(time.Duration(random.ExpFloat64() / test.rate * float64(time.Second)))
+					wait := waits[i%len(waits)]
+					senders.Add(1)
+					go func() {
+						defer senders.Done()
+						r.sendOne(t, g, wait, test.duration, recoversAt, sheds)
+					}()
+				}
+				senders.Wait()
+				found := r.recoveredAt.Sub(recoversAt)
+				t.Logf("refused by the target %d, refused as full %d, served %d, recovery found after %v, longest time without a request %v",
+					r.refused, r.full, r.served, found, r.longestGap)
+				if !test.isShared {
+					is.True(r.refused > 10*(test.slots+7))
+					return
+				}
+				is.True(r.refused <= test.slots+7)
+				is.True(r.full > 0)
+				is.True(found <= 1600*time.Millisecond)
+				is.True(r.longestGap < 2*time.Second)
+				is.Equal(r.lateRefusals, 0)
+				is.Equal(r.badRetryTimes, 0)
+				is.Equal(g.State().Slots, test.slots) // in full use again
+			})
+		})
+	}
+}
+
+// An entry must see the limit in place of the slots, and a shedding target as full only
+// until its next request is due. Otherwise no entry sends that request.
+func TestReportedLimitOfSheddingTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newSharedGate(t, 5)
+		is.Equal(g.State().Slots, 5)
+		gr, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		g.release(gr, resultShed)
+		s := g.State()
+		is.Equal(s.Slots, 1)
+		is.Equal(s.Outstanding, 1)
+		is.Equal(s.AdmitsAt, time.Now().Add(200*time.Millisecond))
+		is.Equal(g.Scheduling(), Scheduling{Limit: 1, IsShedding: true})
+		_, p = g.admit(t.Context(), requestWithin(100*time.Millisecond))
+		is.Equal(p.Code, outcome.CodeTargetFull)
+		is.Equal(p.RetryAt, time.Now().Add(200*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(g.State(), hopheader.GateState{Accepting: true, Slots: 1, Notice: g.State().Notice})
+		gr, p = g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		g.release(gr, resultSuccess)
+		is.Equal(g.State().Slots, 2)
+	})
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/health"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 )
 
 // targetState holds what the gate knows about its target. Gate.mu guards it.
@@ -29,6 +30,8 @@
 	durations        durations
 	breaker          health.CircuitBreaker
 	restrictions     restrictions
+	// limit is recorded with every scheduling, and applies with the shared one.
+	limit schedule.Limit
 	// sent counts the requests that the incarnation was sent.
 	sent int
 }
@@ -76,6 +79,7 @@
 		// An incarnation that drains never reopens.
 		a.Draining = a.Draining || t.announced.Draining
 		t.announced, t.lastAnnouncedAt = a, now
+		t.limit.SetSlots(a.Slots, now.Before(a.WarmupEndsAt))
 		return changed, nil
 	case t.mayBeDeregistered(a) || !a.StartedAt.After(t.announced.StartedAt):
 		previous := t.pendingAnnouncement
@@ -87,6 +91,7 @@
 	}
 	*t = t.renewed(a.identity())
 	t.announced, t.isKnown, t.lastAnnouncedAt = a, true, now
+	t.limit.SetSlots(a.Slots, now.Before(a.WarmupEndsAt))
 	return true, nil
 }
 
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -31,6 +31,13 @@
 		}
 		return limit
 	})
+	m.set.NewGauge("cuminwheel_target_concurrency_limit", func() float64 { return float64(n.gate.Scheduling().Limit) })
+	m.set.NewGauge("cuminwheel_target_shedding", func() float64 {
+		if n.gate.Scheduling().IsShedding {
+			return 1
+		}
+		return 0
+	})
 	m.set.NewGauge("cuminwheel_target_suspect", func() float64 {
 		if n.gate.State().Suspected {
 			return 1
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/process/settings"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -124,6 +125,7 @@
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: func() int { return n.view.CountOf(s.Service) }, ShutdownDeadline: n.shutdownDeadline,
+		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
