schedule, gate: a queue that is fair among customers

The default order lets a customer at 8 times its usual rate take the slots of the others, since it only looks at priorities and deadlines. With the shared scheduling, requests are ordered by rank (calls without a customer, then customer priority, then route priority) and within a rank by start-time fair queueing, corrected by the slot time that requests have really used. The expected wait of a request counts the share of the others, not all that they have queued, and a full queue (32 per slot) drops a request of the customer that has the most in it. Equal slot time alone would serve a large customer far less than a quarter as often as all together, so each arrival earns 0.3 of its cost times the share of requests that are served.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/process/health"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 )
 
@@ -57,6 +58,9 @@
 type grant struct {
 	startedAt time.Time
 	instance  string
+	// item is what the shared queue has charged for the request; nil with the default
+	// scheduling.
+	item *schedule.Item
 	// identity is that of the target's incarnation.
 	identity  uint64
 	routeHash uint32
@@ -71,6 +75,7 @@
 	g.mu.Lock()
 	now := time.Now()
 	g.learnNotice(req.Notice, now)
+	g.applyMode()
 	if p := g.checkAdmissible(req, now); p != nil {
 		g.mu.Unlock()
 		return grant{}, p
@@ -84,8 +89,16 @@
 	case health.AdmittedAsTrial:
 		isTrial = true
 	}
+	if g.isShared() {
+		gr, w, p := g.admitShared(req, now, isTrial)
+		g.mu.Unlock()
+		if w == nil {
+			return gr, p
+		}
+		return g.awaitDecision(ctx, w)
+	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
-	if g.hasFreeSlot(now) && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
+	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		gr := g.takeSlot(req, now, isTrial)
 		g.mu.Unlock()
 		return gr, nil
@@ -97,7 +110,7 @@
 		g.mu.Unlock()
 		return grant{}, refuseLimited(nextAt)
 	}
-	wait := g.queueOrder(now).expectedWait(work, isNext, g.slotLimit())
+	wait := estimateWait(work, g.target.durations.all, g.target.announced.Slots)
 	if now.Add(wait).After(req.QueueDeadline) {
 		g.mu.Unlock()
 		return grant{}, refuseFull(wait, now)
@@ -118,12 +131,15 @@
 	case d := <-w.decisions:
 		return d.grant, d.problem
 	case <-timer.C:
-		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time").WithRetryAt(g.capacityAt(time.Now()))
+		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time")
 	case <-ctx.Done():
 		p = outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
 	}
 	g.mu.Lock()
-	removed := g.queue.remove(w)
+	removed := g.removeWaiter(w)
+	if removed && p.Code == outcome.CodeTargetFull {
+		p = p.WithRetryAt(g.recordExpiry(w, time.Now()))
+	}
 	g.mu.Unlock()
 	if removed {
 		return grant{}, p
@@ -135,7 +151,7 @@
 // queueOrder returns the order of the queue at the given time. The caller holds
 // mu.
 func (g *Gate) queueOrder(now time.Time) queueOrder {
-	return queueOrder{now: now, durations: &g.target.durations, delay: g.trialDelay(now)}
+	return queueOrder{now: now, durations: &g.target.durations}
 }
 
 // takeSlot assigns a slot to the request and updates the retry budget. The caller
@@ -172,18 +188,23 @@
 // grants free slots to the others. The caller holds mu.
 func (g *Gate) dispatchWaiters() {
 	now := time.Now()
+	g.applyMode()
+	if g.isShared() {
+		g.dispatchShared(now)
+		return
+	}
 	g.queue.refuseIf(func(req hopheader.Request) *outcome.Problem { return g.checkAdmissible(req, now) })
 	if g.target.breaker.IsSuspected(now) {
 		g.queue.refuseIf(func(hopheader.Request) *outcome.Problem { return g.refuseSuspected() })
 	}
-	for g.hasFreeSlot(now) && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
+	for g.target.inFlight < g.target.announced.Slots && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		w := g.queue.pop(g.queueOrder(now), func(req hopheader.Request) bool { return g.checkAdmissible(req, now) == nil })
 		if w == nil {
 			return
 		}
 		w.decisions <- decision{grant: g.takeSlot(w.request, now, false)}
 	}
-	g.queue.refuseHopeless(g.queueOrder(now), g.slotLimit())
+	g.queue.refuseHopeless(g.queueOrder(now), g.target.announced.Slots)
 	g.wakeForLimits(now)
 }
 
@@ -191,7 +212,7 @@
 // next one. The caller holds mu.
 func (g *Gate) wakeForLimits(now time.Time) {
 	nextAt := latest(g.target.restrictions.limiter.nextAt(now, 0), g.nextStartAt(now))
-	if nextAt.IsZero() || len(g.queue.waiters) == 0 {
+	if nextAt.IsZero() || g.queueLength() == 0 {
 		return
 	}
 	if g.limitTimer != nil {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
@@ -77,9 +78,13 @@
 	targetConns *http1.Pool
 	startedAt   time.Time
 
-	mu          sync.Mutex
-	target      targetState
-	queue       queue
+	mu     sync.Mutex
+	target targetState
+	queue  queue
+	// shared holds the waiters of the shared scheduling, queue those of the default one.
+	shared schedule.Queue[*waiter]
+	// sweptAt is when hopeless waiters of the shared queue were last looked for.
+	sweptAt     time.Time
 	retryBudget retryBudget
 	gateCount   int
 	isDraining  bool
@@ -211,11 +216,11 @@
 	s := hopheader.GateState{
 		Accepting:   g.target.isOpen() && !g.isDraining,
 		Suspected:   g.target.breaker.IsSuspected(now),
-		Outstanding: g.target.inFlight + len(g.queue.waiters),
+		Outstanding: g.target.inFlight + g.queueLength(),
 		Slots:       g.target.announced.Slots,
 
 		LastSuccessAt: g.target.breaker.LastSuccessAt(),
-		AdmitsAt:      g.target.restrictions.limiter.nextAt(now, len(g.queue.waiters)),
+		AdmitsAt:      g.target.restrictions.limiter.nextAt(now, g.queueLength()),
 		Notice:        g.target.restrictions.notice(g.target.isKnown),
 	}
 	if now.Before(g.target.announced.WarmupEndsAt) {
@@ -256,6 +261,9 @@
 	now := time.Now()
 	g.target.inFlight--
 	gr.run.hasEnded = true
+	if gr.item != nil {
+		g.shared.Correct(*gr.item, now.Sub(gr.startedAt))
+	}
 	if !gr.run.isSent && gr.identity == g.target.restrictions.identity {
 		g.target.restrictions.limiter.refund()
 	}
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 )
 
 // waiter is a queued request.
 type waiter struct {
 	request hopheader.Request
+	// queued is the waiter's place in the shared queue; nil in the default one.
+	queued *schedule.Queued[*waiter]
 	// decisions receives exactly one decision, unless the waiter is removed from
 	// the queue first.
 	decisions chan decision
@@ -26,8 +29,12 @@
 	waiters []*waiter
 }
 
+func newWaiter(req hopheader.Request) *waiter {
+	return &waiter{request: req, decisions: make(chan decision, 1)}
+}
+
 func (q *queue) push(req hopheader.Request) *waiter {
-	w := &waiter{request: req, decisions: make(chan decision, 1)}
+	w := newWaiter(req)
 	q.waiters = append(q.waiters, w)
 	return w
 }
@@ -52,17 +59,6 @@
 type queueOrder struct {
 	now       time.Time
 	durations *durations
-	// delay is the time until a shedding target may get its next request.
-	delay time.Duration
-}
-
-// expectedWait returns the expected wait of a request until it gets a slot; work is the
-// total duration of the requests ahead of it.
-func (o queueOrder) expectedWait(work time.Duration, isNext bool, slots int) time.Duration {
-	if o.delay > 0 && isNext {
-		return o.delay
-	}
-	return o.delay + estimateWait(work, o.durations.all, slots)
 }
 
 // precedes reports whether a request ranks before another one that has waited
@@ -126,9 +122,8 @@
 	kept := make([]*waiter, 0, len(q.waiters))
 	for i, w := range q.waiters {
 		work, isNext := q.workAhead(w.request, i, o)
-		wait := o.expectedWait(work, isNext, slots)
-		left := w.request.QueueDeadline.Sub(o.now)
-		if isNext && (o.delay == 0 || o.delay <= left) || !isNext && float64(wait) <= earlyRefusalFactor*float64(left) {
+		wait := estimateWait(work, o.durations.all, slots)
+		if isNext || float64(wait) <= earlyRefusalFactor*float64(w.request.QueueDeadline.Sub(o.now)) {
 			kept = append(kept, w)
 			continue
 		}
--- a/process/gate/scheduling.go
+++ b/process/gate/scheduling.go
@@ -44,13 +44,6 @@
 	return max(0, g.target.limit.TrialAt().Sub(now))
 }
 
-// capacityAt returns when a request that has left the queue can expect a slot.
-func (g *Gate) capacityAt(now time.Time) time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return now.Add(g.trialDelay(now) + g.target.durations.all)
-}
-
 // recordForLimit records what the result of a request shows about the concurrency limit.
 // The caller holds mu; the request no longer counts as running.
 func (g *Gate) recordForLimit(gr grant, res result, now time.Time) {
@@ -59,6 +52,8 @@
 	switch res {
 	case resultShed:
 		l.RecordRefusal(gr.startedAt, now, g.target.inFlight)
+		// Waiters that cannot wait for the next request to the target are refused now.
+		g.sweptAt = time.Time{}
 	case resultSuccess, resultError:
 		// A target that responds with an error has run the request.
 		l.RecordCompletion(gr.startedAt, g.target.inFlight+1)
@@ -67,7 +62,7 @@
 	}
 	if l.IsShedding() != wasShedding && g.isShared() {
 		g.options.Logger.Info("shedding of the target changed", "instance", gr.instance, "shedding", l.IsShedding(),
-			"limit", l.Current(), "slots", g.target.announced.Slots, "queued", len(g.queue.waiters))
+			"limit", l.Current(), "slots", g.target.announced.Slots, "queued", g.queueLength())
 	}
 }
 
@@ -89,6 +84,9 @@
 	Limit int
 	// IsShedding means that the target refuses all requests.
 	IsShedding bool
+	// QueuedCalls and QueuedOfCustomers are the numbers of requests without a customer and
+	// with one that wait for a slot.
+	QueuedCalls, QueuedOfCustomers int
 }
 
 // Scheduling returns the state of the scheduling. With the default scheduling, the limit
@@ -96,7 +94,16 @@
 func (g *Gate) Scheduling() Scheduling {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Scheduling{Limit: g.slotLimit(), IsShedding: g.isShared() && g.target.limit.IsShedding()}
+	s := Scheduling{Limit: g.slotLimit(), IsShedding: g.isShared() && g.target.limit.IsShedding()}
+	s.QueuedCalls = len(g.queue.waiters)
+	for rank, length := range g.shared.LengthByRank() {
+		if rank.Customer < 0 {
+			s.QueuedCalls += length
+			continue
+		}
+		s.QueuedOfCustomers += length
+	}
+	return s
 }
 
 // latest returns the later of two times.
--- a/process/gate/shedding_test.go
+++ b/process/gate/shedding_test.go
@@ -172,3 +172,108 @@
 		is.Equal(g.State().Slots, 2)
 	})
 }
+
+// A configuration may switch the scheduling while requests are queued. None may be lost,
+// and each must still get its decision.
+func TestWaitersOutliveChangeOfMode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newSharedGate(t, 1)
+		modes := configuration.Modes{Scheduling: configuration.SchedulingShared}
+		g.options.Modes = func() configuration.Modes { return modes }
+		running, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		granted := make(chan grant, 3)
+		for range 3 {
+			go func() {
+				if gr, p := g.admit(t.Context(), requestWithin(time.Second)); p == nil {
+					granted <- gr
+				}
+			}()
+		}
+		synctest.Wait()
+		is.Equal(g.Scheduling(), Scheduling{Limit: 1, QueuedCalls: 3})
+		for i := range 3 {
+			modes = configuration.Modes{}
+			if i == 1 {
+				modes.Scheduling = configuration.SchedulingShared
+			}
+			g.release(running, resultSuccess)
+			running = <-granted
+			is.Equal(g.State().Outstanding, 3-i)
+		}
+		g.release(running, resultSuccess)
+		is.Equal(g.State().Outstanding, 0)
+	})
+}
+
+// A closing gate must refuse the waiters of the shared queue at once, as it does those of
+// the default one.
+func TestSharedWaitersAreRefusedWhenClosed(t *testing.T) {
+	tests := []struct {
+		name  string
+		close func(*Gate)
+		want  outcome.Code
+	}{
+		{"node leaving", (*Gate).Drain, outcome.CodeDraining},
+		{"target deregistered", func(g *Gate) { _ = g.Deregister(Deregistration{Instance: "i"}) }, outcome.CodeDraining},
+		{"target suspected", func(g *Gate) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.target.breaker.RecordLost(time.Now())
+			g.dispatchWaiters()
+		}, outcome.CodeTargetSuspected},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newSharedGate(t, 1)
+				gr, p := g.admit(t.Context(), requestWithin(0))
+				is.True(p == nil)
+				var got *outcome.Problem
+				startedAt := time.Now()
+				go func() { _, got = g.admit(t.Context(), requestWithin(time.Second)) }()
+				synctest.Wait()
+				test.close(g)
+				synctest.Wait()
+				is.Equal(got.Code, test.want)
+				is.Equal(time.Since(startedAt), time.Duration(0))
+				g.release(gr, resultSuccess)
+				is.Equal(g.State().Outstanding, 0)
+			})
+		})
+	}
+}
+
+// A full queue must refuse a request of the customer that has the most in it, not the
+// newcomer of another one.
+func TestFullQueueDropsLargestCustomer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newSharedGate(t, 1)
+		gr, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		g.target.durations.all = time.Millisecond
+		refused := make(chan string, queuePerSlot+1)
+		send := func(customer string) {
+			req := requestWithin(time.Second)
+			req.Customer = customer
+			if _, p := g.admit(t.Context(), req); p != nil && p.Code == outcome.CodeTargetFull && !p.RetryAt.IsZero() {
+				refused <- customer
+			}
+		}
+		for range queuePerSlot {
+			go send("large")
+		}
+		synctest.Wait()
+		is.Equal(len(refused), 0)
+		go send("small")
+		synctest.Wait()
+		is.Equal(len(refused), 1)
+		is.Equal(<-refused, "large")
+		is.Equal(g.Scheduling().QueuedOfCustomers, queuePerSlot)
+		g.Drain()
+		g.release(gr, resultSuccess)
+	})
+}
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -38,6 +38,8 @@
 		}
 		return 0
 	})
+	m.set.NewGauge(`cuminwheel_gate_queued{rank="calls"}`, func() float64 { return float64(n.gate.Scheduling().QueuedCalls) })
+	m.set.NewGauge(`cuminwheel_gate_queued{rank="customers"}`, func() float64 { return float64(n.gate.Scheduling().QueuedOfCustomers) })
 	m.set.NewGauge("cuminwheel_target_suspect", func() float64 {
 		if n.gate.State().Suspected {
 			return 1
--- /dev/null
+++ b/process/schedule/flow.go
@@ -0,0 +1,132 @@
+package schedule
+
+import (
+	"container/heap"
+	"time"
+)
+
+// flow holds the queued requests of one customer in one rank, in order of arrival.
+type flow[T any] struct {
+	rank     *rankQueue[T]
+	customer string
+	entries  []*Queued[T]
+	// work is the expected slot time of the entries.
+	work time.Duration
+	// tag is the slot time charged so far, less what its arrivals have earned, as virtual
+	// time of the rank.
+	tag time.Duration
+	// sequence orders flows with the same tag.
+	sequence int
+	// index is the position among the active flows, or -1.
+	index int
+}
+
+// rankQueue holds the requests of one rank.
+type rankQueue[T any] struct {
+	rank   Rank
+	length int
+	work   time.Duration
+	// virtual is the tag of the customer that was served last.
+	virtual time.Duration
+	// flows holds the active flows, which have requests, and the idle ones whose tag is
+	// still above virtual.
+	flows  map[string]*flow[T]
+	active flowHeap[T]
+	// nextSequence is that of the next flow that becomes active, nextSweep the number of
+	// flows at which the idle ones without significance are removed.
+	nextSequence int
+	nextSweep    int
+}
+
+// minSweep is the number of flows below which idle ones are not removed.
+const minSweep = 64
+
+// activate returns the flow of a customer, among the active ones.
+func (r *rankQueue[T]) activate(customer string) *flow[T] {
+	f := r.flow(customer)
+	if f.index < 0 {
+		f.tag = max(f.tag, r.virtual-maxCredit)
+		f.sequence = r.nextSequence
+		r.nextSequence++
+		heap.Push(&r.active, f)
+	}
+	return f
+}
+
+// flow returns the flow of a customer.
+func (r *rankQueue[T]) flow(customer string) *flow[T] {
+	if f := r.flows[customer]; f != nil {
+		return f
+	}
+	if len(r.flows) >= max(minSweep, r.nextSweep) {
+		for name, f := range r.flows {
+			if f.index < 0 && f.tag <= r.virtual {
+				delete(r.flows, name)
+			}
+		}
+		r.nextSweep = 2 * len(r.flows)
+	}
+	f := &flow[T]{rank: r, customer: customer, tag: r.virtual, index: -1}
+	r.flows[customer] = f
+	return f
+}
+
+// deactivate takes a flow without requests from the active ones.
+func (r *rankQueue[T]) deactivate(f *flow[T]) { heap.Remove(&r.active, f.index) }
+
+// charge charges a cost to an active flow that is served.
+func (r *rankQueue[T]) charge(f *flow[T], cost time.Duration) {
+	r.virtual = max(r.virtual, f.tag)
+	r.move(f, cost)
+}
+
+// earn lowers the tag of a customer by what an arrival earns. One that has had no requests
+// in the queue is not owed for that time.
+func (r *rankQueue[T]) earn(customer string, earned time.Duration) {
+	f := r.flow(customer)
+	if f.index < 0 {
+		f.tag = max(f.tag, r.virtual)
+	}
+	r.move(f, -earned)
+}
+
+// move changes the tag of a customer. It never falls far below the virtual time, so that a
+// customer whose requests were refused by the target does not get a burst.
+func (r *rankQueue[T]) move(f *flow[T], by time.Duration) {
+	f.tag = max(r.virtual-maxCredit, f.tag+by)
+	if f.index >= 0 {
+		heap.Fix(&r.active, f.index)
+	}
+}
+
+// flowHeap is a heap of active flows, the lowest tag first.
+type flowHeap[T any] []*flow[T]
+
+func (h flowHeap[T]) Len() int { return len(h) }
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap[T]) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.index = -1
+	return f
+}
