--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -83,6 +83,8 @@
 	queue  queue
 	// shared holds the waiters of the shared scheduling, queue those of the default one.
 	shared schedule.Queue[*waiter]
+	// promises spaces the retry times of the shared scheduling.
+	promises schedule.Promises
 	// sweptAt is when hopeless waiters of the shared queue were last looked for.
 	sweptAt     time.Time
 	retryBudget retryBudget
--- a/process/gate/shared.go
+++ b/process/gate/shared.go
@@ -64,7 +64,8 @@
 		return now.Add(g.target.durations.all)
 	}
 	g.shared.RecordDecision(w.queued.Item, false)
-	return now.Add(g.sharedWait(0, false, now))
+	work, isNext := g.shared.WorkAhead(w.queued.Item, now)
+	return g.promiseRetry(g.sharedWait(work, isNext, now), now)
 }
 
 // admitShared is admit with the shared scheduling, for a request that the target may run:
@@ -87,7 +88,11 @@
 	wait := g.sharedWait(work, isNext, now)
 	if now.Add(wait).After(req.QueueDeadline) {
 		g.shared.RecordDecision(item, false)
-		return grant{}, nil, refuseFull(wait, now)
+		p := refuseFull(wait, now)
+		if req.QueueDeadline.After(now) {
+			p = p.WithRetryAt(g.promiseRetry(wait, now))
+		}
+		return grant{}, nil, p
 	}
 	w := newWaiter(req)
 	w.queued = g.shared.Push(item, w)
@@ -120,7 +125,21 @@
 	work, isNext := g.shared.WorkAhead(e.Item, now)
 	g.shared.Remove(e)
 	g.shared.RecordDecision(e.Item, false)
-	e.Value.decisions <- decision{problem: refuseFull(g.sharedWait(work, isNext, now), now)}
+	wait := g.sharedWait(work, isNext, now)
+	e.Value.decisions <- decision{problem: refuseFull(wait, now).WithRetryAt(g.promiseRetry(wait, now))}
+}
+
+// promiseRetry returns the retry time of a request that is refused as full; wait is the
+// expected wait for a slot. Requests that were not allowed to wait at all need none: their
+// entries ask again at once with a longer wait, and a promise to them would delay those to
+// callers. The caller holds mu.
+func (g *Gate) promiseRetry(wait time.Duration, now time.Time) time.Time {
+	slots := g.slotLimit()
+	if g.target.limit.IsShedding() {
+		// Nothing is known of the capacity after the shedding; before it, all slots worked.
+		slots = g.target.announced.Slots
+	}
+	return g.promises.Next(now, now.Add(wait), g.target.durations.all/time.Duration(max(1, slots)))
 }
 
 // dispatchShared is dispatchWaiters with the shared scheduling. The caller holds mu.
