gate: refusals by a target state when to retry

A request that a target itself refused had no retry time, so that a caller whose request had used up its attempts was told nothing. With the shared scheduling it is the time of the next request to the target, spaced like the other retry times.

--- a/process/gate/promises_test.go
+++ b/process/gate/promises_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/matryer/is"
 )
 
@@ -61,3 +62,21 @@
 		})
 	}
 }
+
+// A refusal by the target itself must state when the target gets its next request.
+// Otherwise the caller of a request that has used up its attempts is told nothing.
+func TestShedRefusalStatesRetryTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newSharedGate(t, 5)
+		shed := func() *outcome.Problem { return outcome.Refused(outcome.CodeShed, "test") }
+		gr, p := g.admit(t.Context(), requestWithin(0))
+		is.True(p == nil)
+		g.release(gr, resultShed)
+		is.Equal(g.withShedRetry(shed()).RetryAt, time.Now().Add(200*time.Millisecond))
+		is.True(g.withShedRetry(outcome.Refused(outcome.CodeDraining, "test")).RetryAt.IsZero())
+		is.True(g.withShedRetry(nil) == nil)
+		g.options.Modes = nil
+		is.True(g.withShedRetry(shed()).RetryAt.IsZero())
+	})
+}
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -44,6 +44,7 @@
 		return resp
 	default:
 		resp, retryCharged, problem = g.serve(ctx, in, req)
+		problem = g.withShedRetry(problem)
 	}
 	now := time.Now()
 	if problem != nil {
--- a/process/gate/shared.go
+++ b/process/gate/shared.go
@@ -142,6 +142,18 @@
 	return g.promises.Next(now, now.Add(wait), g.target.durations.all/time.Duration(max(1, slots)))
 }
 
+// withShedRetry adds the retry time to a refusal by the target itself, with the shared
+// scheduling.
+func (g *Gate) withShedRetry(p *outcome.Problem) *outcome.Problem {
+	if p == nil || p.Code != outcome.CodeShed || !g.isShared() {
+		return p
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return p.WithRetryAt(g.promiseRetry(g.sharedWait(0, true, now), now))
+}
+
 // dispatchShared is dispatchWaiters with the shared scheduling. The caller holds mu.
 func (g *Gate) dispatchShared(now time.Time) {
 	g.refuseInadmissible(now)
