--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -25,6 +25,9 @@
 // Used returns the number of bytes in use.
 func (b *BodyBudget) Used() int64 { return b.used.Load() }
 
+// Fits reports whether a body of n bytes fits beside those in memory.
+func (b *BodyBudget) Fits(n int64) bool { return b == nil || b.used.Load()+n <= b.limit }
+
 // maxBodyShare is the share of a budget that one response may use.
 const maxBodyShare = 0.5
 
--- a/connection/http1/listener.go
+++ b/connection/http1/listener.go
@@ -58,12 +58,15 @@
 
 // IncomingRequest is a request that a Listener received.
 type IncomingRequest struct {
-	Method       string
-	URI          string
-	Host         string
-	Path         string
-	Header       http.Header
-	ReceivedAt   time.Time
+	Method     string
+	URI        string
+	Host       string
+	Path       string
+	Header     http.Header
+	ReceivedAt time.Time
+	// UnreadLength is the announced length of a body that the caller sends only after
+	// ReadBody has been called; 0 if it has been read or announces no length.
+	UnreadLength int64
 	body         chan bodyResult
 	sendContinue func() error
 	sendInterim  func(http.Header) error
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -178,6 +178,7 @@
 	}
 	expectsContinue := hr.Header.Get("Expect") != "" && hr.Body != http.NoBody
 	if expectsContinue {
+		in.UnreadLength = max(0, hr.ContentLength)
 		var continued atomic.Bool
 		in.sendContinue = sync.OnceValue(func() error { continued.Store(true); return c.sendContinue() })
 		c.startHandler(ctx, in, p)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -85,6 +85,8 @@
 	shared schedule.Queue[*waiter]
 	// promises spaces the retry times of the shared scheduling.
 	promises schedule.Promises
+	// pendingBodies is the announced size of the bodies that are about to be read.
+	pendingBodies int64
 	// sweptAt is when hopeless waiters of the shared queue were last looked for.
 	sweptAt     time.Time
 	retryBudget retryBudget
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -63,7 +63,11 @@
 // whether the retry of a failed request has been charged to this gate.
 func (g *Gate) serve(ctx context.Context, in *http1.IncomingRequest, req hopheader.Request) (response *http1.Response, retryCharged bool, p *outcome.Problem) {
 	id := g.options.Headers.ParseCallerHeaders(in.Header, in.ReceivedAt).ID
-	gr, problem := g.admit(ctx, req)
+	problem := g.checkBody(in.UnreadLength)
+	var gr grant
+	if problem == nil {
+		gr, problem = g.admit(ctx, req)
+	}
 	if problem != nil {
 		g.options.Logger.Info("request refused", "request", id, "reason", problem.Code, "priority", req.Priority,
 			"repeat", req.IsRetry, "may_fail", req.CanRetry, "wait_ms", time.Until(req.QueueDeadline).Milliseconds(), "left_ms", time.Until(req.Deadline).Milliseconds())
@@ -71,7 +75,12 @@
 	}
 	finalResult := resultInconclusive
 	defer func() { g.release(gr, finalResult) }()
+	// Other bodies may have arrived while the request was queued.
+	if p := g.reserveBody(in.UnreadLength); p != nil {
+		return nil, false, p
+	}
 	body, err := in.ReadBody(ctx)
+	g.unreserveBody(in.UnreadLength)
 	if err != nil {
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
 	}
--- a/process/gate/shedding_test.go
+++ b/process/gate/shedding_test.go
@@ -13,13 +13,16 @@
 	"github.com/matryer/is"
 )
 
+// sharedModes are the modes of a configuration with the shared scheduling.
+func sharedModes() configuration.Modes {
+	return configuration.Modes{Scheduling: configuration.SchedulingShared}
+}
+
 // newSharedGate returns an open gate with the shared scheduling.
 func newSharedGate(t *testing.T, slots int) *Gate {
 	t.Helper()
 	g := newGate()
-	g.options.Modes = func() configuration.Modes {
-		return configuration.Modes{Scheduling: configuration.SchedulingShared}
-	}
+	g.options.Modes = sharedModes
 	a := announcement("i", 1000, 1)
 	a.Slots = slots
 	if err := g.Announce(a); err != nil {
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -80,7 +80,8 @@
 	// CodeResponseUnsigned means that a successful response lacks the target's
 	// proof of origin.
 	CodeResponseUnsigned Code = "answer_unsigned"
-	// CodeNoMemory means that the node has no memory left for the response.
+	// CodeNoMemory means that the node has no memory left for the response. As the code of
+	// a refusal, it means that there is none for the request's body.
 	CodeNoMemory Code = "no_memory"
 	// CodeGateConnectionLost means that the connection to the gate failed, or that
 	// the gate's response was invalid, when the request may have been run.
