schedule: bound how long a customer waits for slot time used before

A customer whose requests had held slots for a minute, as at a target that stalled, was not served until all others had used as much. The lead is bounded to 2 s of slot time; the test failed before.

--- a/process/schedule/flow.go
+++ b/process/schedule/flow.go
@@ -90,10 +90,11 @@
 	r.move(f, -earned)
 }
 
-// move changes the tag of a customer. It never falls far below the virtual time, so that a
-// customer whose requests were refused by the target does not get a burst.
+// move changes the tag of a customer. It stays near the virtual time: a customer whose
+// requests were refused by the target does not get a burst, and one whose requests stalled
+// is not starved for long.
 func (r *rankQueue[T]) move(f *flow[T], by time.Duration) {
-	f.tag = max(r.virtual-maxCredit, f.tag+by)
+	f.tag = min(max(r.virtual-maxCredit, f.tag+by), r.virtual+maxLead)
 	if f.index >= 0 {
 		heap.Fix(&r.active, f.index)
 	}
--- a/process/schedule/queue_test.go
+++ b/process/schedule/queue_test.go
@@ -108,6 +108,25 @@
 	is.Equal(corrected.Pop(testEpoch).Value, "b")
 }
 
+// A customer whose requests have held slots for very long, as at a target that stalled,
+// must not be starved for as long afterwards.
+func TestLeadIsBounded(t *testing.T) {
+	is := is.New(t)
+	var q Queue[string]
+	q.Charge(itemOf("a", 0, 0))
+	q.Correct(itemOf("a", 0, 0), time.Minute)
+	for range 25 {
+		q.Push(itemOf("a", 0, 0), "a")
+		q.Push(itemOf("b", 0, 0), "b")
+	}
+	served := map[string]int{}
+	for range 25 {
+		served[q.Pop(testEpoch).Value]++
+	}
+	is.True(served["b"] >= 15)
+	is.True(served["a"] >= 2)
+}
+
 // A full queue must drop requests of the customer that has the most, and calls of targets
 // only if there is nothing else.
 func TestVictimIsOfLargestCustomer(t *testing.T) {
--- a/process/schedule/wait.go
+++ b/process/schedule/wait.go
@@ -14,6 +14,9 @@
 	// maxCredit bounds how far the tag of a customer may lie below the virtual time, and so
 	// the slot time that it can use at once.
 	maxCredit = 500 * time.Millisecond
+	// maxLead bounds how far the tag may lie above the virtual time. It exceeds the slot
+	// time of nearly all requests.
+	maxLead = 2 * time.Second
 	// servedWeight is the weight of the newest request in the moving average of the share
 	// of requests that get a slot.
 	servedWeight = 0.01
