schedule: measurements of the limit are dropped after 10 s

A target that was slow for some seconds under full load, because of what it waits for, looks like one that slows down when it is full, and would have been kept below its slots for 30 s.

--- a/process/schedule/bench_test.go
+++ b/process/schedule/bench_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// BenchmarkHopeless measures the search for hopeless requests, which a gate makes at most
+// each 20 ms, with the given number of customers in the queue.
+func BenchmarkHopeless(b *testing.B) {
+	for _, customers := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			q, _ := queueOf(customers)
+			for b.Loop() {
+				q.Hopeless(testEpoch, func(time.Duration, bool) time.Duration { return 0 })
+			}
+		})
+	}
+}
+
 // BenchmarkLimit measures the decision about one request and the record of its end. The
 // limit does not depend on the number of customers.
 func BenchmarkLimit(b *testing.B) {
--- a/process/schedule/curve.go
+++ b/process/schedule/curve.go
@@ -18,8 +18,10 @@
 	// minSamples is the number of requests from which a level counts.
 	minSamples = 30
 	// sampleTTL is how long a level counts without a request. A limit that has settled
-	// below the slots is lifted then and measured again.
-	sampleTTL = 30 * time.Second
+	// below the slots is lifted then and measured again. It is longer than a burst, and
+	// short because a target that was slow for some seconds under full load would
+	// otherwise be kept below its slots for as long.
+	sampleTTL = 10 * time.Second
 	// curveInterval is the time between two computations of the ceiling.
 	curveInterval = 250 * time.Millisecond
 	// nearBest is the share of the best completion rate from which a level is as good as
--- a/process/schedule/curve_test.go
+++ b/process/schedule/curve_test.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// A target that is slow for some seconds under full load, because of what it waits for,
+// looks like one that slows down when it is full. It must get back all its slots soon.
+func TestSlowEpisodeIsForgotten(t *testing.T) {
+	is := is.New(t)
+	const slots, slowFrom, slowUntil = 15, 10 * time.Second, 18 * time.Second
+	s := stubTarget{sheds: func(time.Duration) bool { return false }, capacity: slots, duration: 100 * time.Millisecond, noise: 0.5}
+	s.demand = func(at time.Duration) int {
+		if at >= slowFrom {
+			return slots
+		}
+		return 1 + int(at%slowFrom*slots/slowFrom)
+	}
+	s.run(slots, 0, slowFrom)
+	s.speed = func(int) float64 { return 0.4 }
+	lowest := slots
+	for at := slowFrom; at < slowUntil; at += 500 * time.Millisecond {
+		s.run(slots, at, at+500*time.Millisecond)
+		lowest = min(lowest, s.limit.Current())
+	}
+	s.speed = nil
+	s.run(slots, slowUntil, slowUntil+sampleTTL+2*time.Second)
+	t.Logf("limit %d, and later %d", lowest, s.limit.Current())
+	is.True(lowest >= slots/2)
+	is.Equal(s.limit.Current(), slots)
+}
+
 // The measurements must stay bounded whatever routes there are, and must not be mixed up
 // between routes: a mix that shifts to long requests under load is no slowdown.
 func TestCurveSeparatesRoutes(t *testing.T) {
