--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -41,6 +41,14 @@
 // that, watchForStall has the entry told in an interim response. A gate also charges
 // retries of failed requests to its share of the fleet-wide retry limit.
 //
+// # Overload
+//
+// If the configuration's scheduling is shared, package schedule decides how many requests
+// run at the target, which of the queued ones goes next, and when refused callers are to
+// return (scheduling.go, shared.go); a request whose announced body does not fit into
+// memory is refused before the body is read (bodies.go). Otherwise the slots and the order
+// of queue.go apply.
+//
 // # Callers
 //
 // Package node creates the gate with New, serves its listener with Serve, reads
