node: a test that gates use the scheduling of the configuration

Three nodes with targets; one target sheds everything for 1.5 s. The metrics show the shedding and the limit, and its end within 2 s; no request is lost or run twice. The fleet of the node tests can replace the scheduling, because the platform's configurations have no field for it.

--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -56,6 +56,8 @@
 	storeAddress string
 	executions   *executionCounter
 	vms          []*vm
+	// scheduling replaces that of the configuration, unless it is empty.
+	scheduling configuration.Scheduling
 }
 
 // vmCount is the number of VMs of all tests so far. Each VM has a loopback address
@@ -132,7 +134,7 @@
 func (f *fleet) startNode(v *vm) {
 	client, closeClient := platform.NewStore(f.storeAddress)
 	n, leave, err := node.Start(v.settings, node.Platform{
-		Headers: platform.Headers{}, DecodeConfiguration: platform.DecodeConfiguration,
+		Headers: platform.Headers{}, DecodeConfiguration: f.decode,
 		ConfigurationSource: platform.NewConfigurationSource(client), Registry: platform.NewNodeRegistry(client),
 		NewAnnouncementHandler: func(g *gate.Gate, l hclog.Logger) http.Handler { return platform.AnnouncementHandler(g, l) },
 		ReadyPath:              platform.ReadyPath, AnnouncementPath: platform.AnnouncementPath,
