schedule: no customer is served less than a quarter as often as all

What arrivals earn is now kept apart from the slot time that customers have used, and a customer that has earned the cost of a request goes before all other customers. Each request that is served uses up what was earned, so that only customers far below the mean go first.

The property test of the queue demanded strict ranks. It now demands that calls go first, that a request goes before one of a lower rank only if its customer has earned it, and that there are no more of these than arrivals can have earned.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -110,6 +111,7 @@
 	pool, closePool := http1.NewPool(o.Address, dialTimeout)
 	pool.SetBodyBudget(o.Bodies)
 	g := &Gate{options: o, targetConns: pool, startedAt: time.Now(), target: newTargetState(), gateCount: o.GateCount()}
+	g.shared.Seed = rand.Uint64()
 	g.retryBudget.quota = g.computeRetryQuota()
 	g.retryBudget.tokens = g.retryBudget.quota.capacity
 	return g, closePool
--- a/process/gate/shedding_test.go
+++ b/process/gate/shedding_test.go
@@ -23,6 +23,7 @@
 	t.Helper()
 	g := newGate()
 	g.options.Modes = sharedModes
+	g.shared.Seed = 1
 	a := announcement("i", 1000, 1)
 	a.Slots = slots
 	if err := g.Announce(a); err != nil {
--- a/process/schedule/flow.go
+++ b/process/schedule/flow.go
@@ -12,9 +12,12 @@
 	entries  []*Queued[T]
 	// work is the expected slot time of the entries.
 	work time.Duration
-	// tag is the slot time charged so far, less what its arrivals have earned, as virtual
-	// time of the rank.
+	// tag is the slot time charged so far, as virtual time of the rank.
 	tag time.Duration
+	// earned is the slot time that its arrivals have earned, see Arrive. isOwed means that
+	// the flow is among Queue.owed.
+	earned time.Duration
+	isOwed bool
 	// sequence orders flows with the same tag.
 	sequence int
 	// index is the position among the active flows, or -1.
@@ -38,14 +41,15 @@
 	nextSweep    int
 }
 
-// minSweep is the number of flows below which idle ones are not removed.
-const minSweep = 64
+// minSweep is the number of flows below which idle ones are not removed, so that what
+// they have earned is kept.
+const minSweep = 1024
 
 // activate returns the flow of a customer, among the active ones.
 func (r *rankQueue[T]) activate(customer string) *flow[T] {
 	f := r.flow(customer)
 	if f.index < 0 {
-		f.tag = max(f.tag, r.virtual-maxCredit)
+		f.tag = max(f.tag, r.virtual)
 		f.sequence = r.nextSequence
 		r.nextSequence++
 		heap.Push(&r.active, f)
@@ -78,16 +82,18 @@
 func (r *rankQueue[T]) charge(f *flow[T], cost time.Duration) {
 	r.virtual = max(r.virtual, f.tag)
 	r.move(f, cost)
+	f.earned = max(0, f.earned-cost)
 }
 
-// earn lowers the tag of a customer by what an arrival earns. One that has had no requests
-// in the queue is not owed for that time.
-func (r *rankQueue[T]) earn(customer string, earned time.Duration) {
-	f := r.flow(customer)
-	if f.index < 0 {
-		f.tag = max(f.tag, r.virtual)
+// first returns the request of an active flow that goes next.
+func (f *flow[T]) first(now time.Time) *Queued[T] {
+	best := f.entries[0]
+	for _, e := range f.entries[1:] {
+		if e.precedes(best, now) {
+			best = e
+		}
 	}
-	r.move(f, -earned)
+	return best
 }
 
 // move changes the tag of a customer. It stays near the virtual time: a customer whose
--- a/process/schedule/queue.go
+++ b/process/schedule/queue.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Rank orders requests before any fairness among customers; lower ones go first.
+// Rank orders requests before fairness among customers; lower ones go first.
 type Rank struct {
 	// Customer is the priority of the customer, and -1 for requests without a customer.
 	// These are mostly calls of targets: a request that has got a slot elsewhere waits for
@@ -67,9 +67,15 @@
 // the slot time that it has used, and the lowest tag goes first. A customer that comes
 // back after a pause starts at the tag which is being served, so that it is not owed for
 // the time without requests. Push and Pop cost the logarithm of the number of customers
-// in the queue, and are linear in the queued requests of one customer.
+// in the queue, and are linear in the queued requests of one customer. Customers that are
+// served far less than all together go before ranks and tags, see Arrive.
 type Queue[T any] struct {
+	// Seed differs between the queues of a service, see Arrive.
+	Seed  uint64
 	ranks []*rankQueue[T]
+	// owed holds flows that have earned a request, the first one first. They may have lost
+	// their requests since.
+	owed []*flow[T]
 	// customers holds the customers with queued requests, byLength those with a name, the
 	// one with the most requests first.
 	customers map[string]*customerState[T]
@@ -122,6 +128,7 @@
 	}
 	c.length++
 	q.fixLength(c)
+	q.noteOwed(f)
 	return e
 }
 
@@ -171,13 +178,13 @@
 		if r.length == 0 {
 			continue
 		}
-		f := r.active[0]
-		best := f.entries[0]
-		for _, e := range f.entries[1:] {
-			if e.precedes(best, now) {
-				best = e
+		if r.rank.Customer >= 0 {
+			if e := q.popOwed(now); e != nil {
+				return e
 			}
 		}
+		f := r.active[0]
+		best := f.first(now)
 		r.charge(f, best.Cost)
 		q.Remove(best)
 		return best
--- a/process/schedule/wait.go
+++ b/process/schedule/wait.go
@@ -2,17 +2,21 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// creditShare, times the share of all requests that get a slot, is the share of its
 	// cost that a request earns for its customer when it arrives. It is above a quarter,
 	// because no customer may be served less than a quarter as often as all customers
-	// together; equal slot time alone would serve a large customer far less than that.
+	// together. Equal slot time alone would serve a large customer far less than that, and
+	// priorities alone the customers of the lowest not at all.
 	creditShare = 0.3
-	// maxCredit bounds how far the tag of a customer may lie below the virtual time, and so
-	// the slot time that it can use at once.
+	// maxCredit bounds the slot time that a customer can have earned, and so use at once,
+	// and how far its tag may lie below the virtual time.
 	maxCredit = 500 * time.Millisecond
 	// maxLead bounds how far the tag may lie above the virtual time. It exceeds the slot
 	// time of nearly all requests.
@@ -22,7 +26,11 @@
 	servedWeight = 0.01
 )
 
-// Arrive records that a request has arrived, whether or not it is queued.
+// Arrive records that a request has arrived, whether or not it is queued. It earns its
+// customer a share of its cost. A customer that has earned the cost of a queued request goes
+// before all other customers, whatever their priorities, and each request that it is served
+// uses up what it has earned. So only customers that are served far less than all together
+// ever go first.
 func (q *Queue[T]) Arrive(item Item) {
 	if item.Customer == "" {
 		return
@@ -31,7 +39,48 @@
 	if q.hasServedShare {
 		share = q.servedShare
 	}
-	q.rank(item.Rank).earn(item.Customer, time.Duration(creditShare*share*float64(item.Cost)))
+	r := q.rank(item.Rank)
+	f, isKnown := r.flows[item.Customer]
+	if !isKnown {
+		f = r.flow(item.Customer)
+		// A customer with few requests would earn its first only after many at each gate.
+		// With a different start at each, it gets its share from the service as a whole.
+		start := xxhash.Sum64String(item.Customer+strconv.FormatUint(q.Seed, 36)) >> 11
+		f.earned = time.Duration(float64(start) / (1 << 53) * float64(item.Cost))
+	}
+	f.earned = min(max(maxCredit, item.Cost), f.earned+time.Duration(creditShare*share*float64(item.Cost)))
+	q.noteOwed(f)
+}
+
+// noteOwed adds a flow to those that are owed a request if it has earned one.
+func (q *Queue[T]) noteOwed(f *flow[T]) {
+	if !f.isOwed && len(f.entries) > 0 && f.customer != "" && f.earned >= f.entries[0].Cost {
+		f.isOwed = true
+		q.owed = append(q.owed, f)
+	}
+}
+
+// popOwed removes and returns a request that its customer has earned, or nil. It is not
+// charged to the customer's tag.
+func (q *Queue[T]) popOwed(now time.Time) *Queued[T] {
+	for len(q.owed) > 0 {
+		f := q.owed[0]
+		q.owed[0] = nil
+		q.owed = q.owed[1:]
+		f.isOwed = false
+		if len(f.entries) == 0 {
+			continue
+		}
+		e := f.first(now)
+		if f.earned < e.Cost {
+			continue
+		}
+		f.earned -= e.Cost
+		q.Remove(e)
+		q.noteOwed(f)
+		return e
+	}
+	return nil
 }
 
 // RecordDecision records whether a request has got a slot in the end.
@@ -52,25 +101,49 @@
 // WorkAhead returns about how much slot time others will use before a request that arrives
 // now. isNext means that it would go first.
 func (q *Queue[T]) WorkAhead(item Item, now time.Time) (work time.Duration, isNext bool) {
+	var higher time.Duration
 	for _, r := range q.ranks {
-		switch order := r.rank.compare(item.Rank); {
-		case order < 0:
-			work += r.work
-		case order == 0 && r.length > 0:
-			f := r.flows[item.Customer]
-			var own time.Duration
-			if f != nil {
-				e := &Queued[T]{Item: item}
-				for _, other := range f.entries {
-					if !e.precedes(other, now) {
-						own += other.Cost
-					}
+		order := r.rank.compare(item.Rank)
+		if order < 0 {
+			higher += r.work
+			continue
+		}
+		if order > 0 {
+			break
+		}
+		f := r.flows[item.Customer]
+		var own time.Duration
+		if f != nil {
+			e := &Queued[T]{Item: item}
+			for _, other := range f.entries {
+				if !e.precedes(other, now) {
+					own += other.Cost
 				}
 			}
-			work += r.workAhead(f, own, item.Cost)
+			if f.hasEarned(own + item.Cost) {
+				work = q.callWork() + own
+				return work, work == 0
+			}
+		}
+		if r.length > 0 {
+			higher += r.workAhead(f, own, item.Cost)
 		}
 	}
-	return work, work == 0
+	return higher, higher == 0
+}
+
+// hasEarned reports whether the customer has earned the slot time.
+func (f *flow[T]) hasEarned(cost time.Duration) bool { return f.customer != "" && f.earned >= cost }
+
+// callWork returns the expected slot time of the queued requests without a customer.
+func (q *Queue[T]) callWork() (work time.Duration) {
+	for _, r := range q.ranks {
+		if r.rank.Customer >= 0 {
+			break
+		}
+		work += r.work
+	}
+	return work
 }
 
 // workAhead returns about how much slot time the requests of the rank use before one of
@@ -111,7 +184,10 @@
 			for i, e := range entries {
 				isNext := higher == 0 && i == 0 && f.index == 0
 				work := higher
-				if !isNext {
+				switch {
+				case f.hasEarned(own + e.Cost):
+					work = q.callWork() + own
+				case !isNext:
 					work += r.workAhead(f, own, e.Cost)
 				}
 				if now.Add(wait(work, isNext)).After(e.QueueDeadline) {
