--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -1,15 +1,18 @@
 package gate
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -55,6 +58,8 @@
 	// Quarantine gets the requests under which the target has crashed and says which
 	// must not be run.
 	Quarantine Quarantine
+	// Modes returns the modes of the active configuration; nil stands for the defaults.
+	Modes func() configuration.Modes
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// RetryRatio, RetrySlack and RetryWindow are the fleet-wide retry limit:
@@ -79,9 +84,17 @@
 	targetConns *http1.Pool
 	startedAt   time.Time
 
-	mu          sync.Mutex
-	target      targetState
-	queue       queue
+	mu     sync.Mutex
+	target targetState
+	queue  queue
+	// shared holds the waiters of the shared scheduling, queue those of the default one.
+	shared schedule.Queue[*waiter]
+	// promises spaces the retry times of the shared scheduling.
+	promises schedule.Promises
+	// pendingBodies is the announced size of the bodies that are about to be read.
+	pendingBodies int64
+	// sweptAt is when hopeless waiters of the shared queue were last looked for.
+	sweptAt     time.Time
 	retryBudget retryBudget
 	gateCount   int
 	isDraining  bool
@@ -103,6 +116,7 @@
 	pool, closePool := http1.NewPool(o.Address, dialTimeout)
 	pool.SetBodyBudget(o.Bodies)
 	g := &Gate{options: o, targetConns: pool, startedAt: time.Now(), target: newTargetState(), gateCount: o.GateCount()}
+	g.shared.Seed = rand.Uint64()
 	g.retryBudget.quota = g.computeRetryQuota()
 	g.retryBudget.tokens = g.retryBudget.quota.capacity
 	return g, closePool
@@ -213,17 +227,20 @@
 	s := hopheader.GateState{
 		Accepting:   g.target.isOpen() && !g.isDraining,
 		Suspected:   g.target.breaker.IsSuspected(now),
-		Outstanding: g.target.inFlight + len(g.queue.waiters),
+		Outstanding: g.target.inFlight + g.queueLength(),
 		Slots:       g.target.announced.Slots,
 
 		LastSuccessAt: g.target.breaker.LastSuccessAt(),
-		AdmitsAt:      g.target.restrictions.limiter.nextAt(now, len(g.queue.waiters)),
+		AdmitsAt:      g.target.restrictions.limiter.nextAt(now, g.queueLength()),
 		Notice:        g.target.restrictions.notice(g.target.isKnown),
 	}
 	if now.Before(g.target.announced.WarmupEndsAt) {
 		s.Outstanding += warmupPenalty
 	}
-	if now.Sub(g.target.shedAt) < shedCooldown {
+	switch {
+	case g.isShared():
+		g.addLimit(&s, now)
+	case now.Sub(g.target.shedAt) < shedCooldown:
 		s.Outstanding += s.Slots
 	}
 	return s
@@ -255,6 +272,9 @@
 	now := time.Now()
 	g.target.inFlight--
 	gr.run.hasEnded = true
+	if gr.item != nil {
+		g.shared.Correct(*gr.item, now.Sub(gr.startedAt))
+	}
 	if !gr.run.isSent && gr.identity == g.target.restrictions.identity {
 		g.target.restrictions.limiter.refund()
 	}
@@ -278,6 +298,7 @@
 // holds mu.
 func (g *Gate) recordResult(gr grant, res result, now time.Time) {
 	wasSuspected := g.target.breaker.IsSuspected(now)
+	g.recordForLimit(gr, res, now)
 	switch res {
 	case resultSuccess:
 		g.target.breaker.RecordSuccess(now)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -128,6 +129,7 @@
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline,
+		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
