entry: hold or refuse requests by the refusal policy if scheduling is shared

With the shared scheduling the entry holds requests of routes whose callers do not return, in at most 8 rounds of 2 gates, refuses the others after an eighth of their target latency without a prospect, and promises a retry time below a third of the time left. An early return gets the promised time again without an attempt at a gate; a return in time keeps its first soft deadline. A held request that was shed keeps its last attempt while half of the gates are unavailable, and goes on after gates had no retry budget.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -62,7 +62,13 @@
 	defer cancel(errOtherGateResponded)
 	// Each attempt sends one final result and at most one hedge notice, so that
 	// sends never block.
-	s := &dispatchState{call: c, results: make(chan result, 2*maxGateAttempts), excluded: map[*candidate]bool{}, capacityAt: map[*candidate]time.Time{}}
+	s := &dispatchState{call: c, results: make(chan result, 2*(maxGateAttempts+maxHeldAttempts)), excluded: map[*candidate]bool{}, capacityAt: map[*candidate]time.Time{}}
+	if c.modes.IsShared() {
+		if p := e.recallRefusal(s); p != nil {
+			return nil, 0, p
+		}
+		defer e.endHold(s)
+	}
 	e.runRounds(ctx, s)
 	// Attempts that are still in flight may yet bring a response.
 	for s.response == nil && s.inFlight > 0 {
@@ -74,7 +80,11 @@
 	if s.response != nil {
 		return s.response, s.gateAttempts, nil
 	}
-	return nil, s.gateAttempts, s.finalProblem()
+	p := s.finalProblem()
+	if c.modes.IsShared() {
+		p = e.promiseRetry(ctx, s, p)
+	}
+	return nil, s.gateAttempts, p
 }
 
 // runRounds repeats the passes until the request's outcome is certain, no gate
@@ -84,20 +94,30 @@
 	c := s.call
 	latestRound := c.in.ReceivedAt.Add(time.Duration(roundLatencyShare * float64(c.targetLatency())))
 	for {
-		for _, p := range selectionPasses {
-			if e.runPass(ctx, s, p) {
+		for _, p := range s.passes() {
+			if done := e.runPass(ctx, s, p); done && !s.continuesWithoutBudget() {
 				return
+			} else if done {
+				break
 			}
 		}
 		now := time.Now()
-		mayHaveGates := len(e.directory.candidates(c.service)) > 0 || now.Before(e.startedAt.Add(startupWait))
-		if now.After(latestRound) || s.inFlight > 0 || !mayHaveGates {
+		candidates := e.directory.candidates(c.service)
+		mayHaveGates := len(candidates) > 0 || now.Before(e.startedAt.Add(startupWait))
+		if s.inFlight > 0 || !mayHaveGates {
+			return
+		}
+		wait, ok := roundInterval, !now.After(latestRound)
+		if s.usesRefusalPolicy() && len(candidates) > 0 {
+			wait, ok = e.awaitNextRound(s, candidates, now)
+		}
+		if !ok {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(roundInterval):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -117,12 +137,15 @@
 			s.lastProblem = outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(until)
 			return true
 		}
-		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= maxGateAttempts {
+		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= s.attemptLimit() {
 			return true
 		}
 		for i, c := range candidates {
 			snapshots[i] = c.snapshot(now)
 		}
+		if s.defersLastAttempt(snapshots, now) {
+			return false
+		}
 		latest := now.Add(p.queueTimeout(s.call.targetLatency(), s.call.deadline.Sub(now)))
 		isExcluded := func(i int) bool {
 			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest) || snapshots[i].admitsAt.After(latest)
@@ -160,7 +183,7 @@
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
 		RouteHash: routeHash(c.route),
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
-		SoftDeadline: c.in.ReceivedAt.Add(c.targetLatency()), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
+		SoftDeadline: c.softDeadline(), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
@@ -170,6 +193,9 @@
 		hedge.Do(func() { s.results <- result{hedgeDue: true, retryCharged: retryCharged} })
 	})
 	to.finishRequest()
+	if problem == nil && c.modes.IsShared() {
+		e.refusals.recordServed(c, time.Since(now))
+	}
 	code := outcome.Code("answered")
 	if problem != nil {
 		code = problem.Code
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -39,6 +39,8 @@
 	// errorResponse is a target's 5xx response, kept while another target may still
 	// give a better one.
 	errorResponse *http1.Response
+	// shared is the part of the state that only the shared scheduling uses.
+	shared sharedState
 }
 
 // result is the result of one attempt, or the notice that it should be hedged.
@@ -64,6 +66,14 @@
 	return c.deadline.Sub(c.in.ReceivedAt)
 }
 
+// softDeadline returns when the response is wanted.
+func (c *call) softDeadline() time.Time {
+	if !c.returnSoftDeadline.IsZero() {
+		return c.returnSoftDeadline
+	}
+	return c.in.ReceivedAt.Add(c.targetLatency())
+}
+
 // awaitResult waits for a result or a hedge notice. done means that no further
 // gate may be tried.
 func (s *dispatchState) awaitResult() (done bool) {
@@ -98,7 +108,10 @@
 		s.response = r.response
 		return false
 	}
-	if r.problem.Outcome == outcome.Unknown || r.problem.Code == outcome.CodeRetryBudget {
+	switch {
+	case r.problem.Code == outcome.CodeRetryBudget && s.shared.mayHold:
+		s.capacityAt[r.gate] = time.Now().Add(retryBudgetPause)
+	case r.problem.Outcome == outcome.Unknown || r.problem.Code == outcome.CodeRetryBudget:
 		s.excluded[r.gate] = true
 	}
 	if r.problem.Code == outcome.CodeTargetFull || r.problem.Code == outcome.CodeTargetLimited {
@@ -130,6 +143,7 @@
 	}
 	if p.Code == outcome.CodeShed || p.Code == outcome.CodeMisdirected {
 		s.targetAttempts++
+		s.shared.lastShedAt = time.Now()
 	}
 	if p.Outcome == outcome.Unknown {
 		s.targetAttempts++
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -46,6 +46,7 @@
 	RecordEntryRequest(route string, code outcome.Code, took time.Duration)
 	// RecordGateAttempt records an attempt at a gate of the given tier.
 	RecordGateAttempt(tier string, code outcome.Code)
+	RefusalMeter
 }
 
 // Quarantine knows the requests that crash targets.
@@ -77,6 +78,7 @@
 type Entry struct {
 	options   Options
 	directory *directory
+	refusals  *refusals
 	// startedAt is the start of the startup wait.
 	startedAt time.Time
 
@@ -88,7 +90,7 @@
 // New returns an entry and a function that closes its connections to gates.
 func New(o Options) (*Entry, func()) {
 	d := newDirectory(o.Nodes, o.DataCentre, o.Region, o.Bodies)
-	return &Entry{options: o, directory: d, startedAt: time.Now(), splitPoints: map[string]float64{}}, d.close
+	return &Entry{options: o, directory: d, refusals: newRefusals(), startedAt: time.Now(), splitPoints: map[string]float64{}}, d.close
 }
 
 // call is a caller's request with its route and deadline.
@@ -102,6 +104,12 @@
 	route                configuration.Route
 	service              string
 	deadline             time.Time
+	// modes and hasCustomers are those of the configuration that the route is from.
+	modes        configuration.Modes
+	hasCustomers bool
+	// returnSoftDeadline is the soft deadline of a request that was refused before, or
+	// zero. Only the shared scheduling sets it.
+	returnSoftDeadline time.Time
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -180,6 +188,7 @@
 		return c, outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
 	}
 	c.route = route
+	c.modes, c.hasCustomers = current.Modes(), current.Customers().Len() > 0
 	c.service = route.PickService(e.nextSplitPoint(route))
 	latest := in.ReceivedAt.Add(route.Timeout)
 	if c.deadline.IsZero() || latest.Before(c.deadline) {
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -102,6 +102,9 @@
 	// RetryAt is the earliest time for a retry; zero means that none is
 	// suggested.
 	RetryAt time.Time
+	// IsPromise means that RetryAt was chosen for the time that the caller has left, so
+	// that Retry-After is not raised to the usual minimum.
+	IsPromise bool
 }
 
 func (p *Problem) Error() string {
@@ -147,6 +150,13 @@
 	return &p
 }
 
+// WithPromise returns a copy of the problem with a retry time that was chosen for the time
+// that the caller has left.
+func (p Problem) WithPromise(t time.Time) *Problem {
+	p.RetryAt, p.IsPromise = t, true
+	return &p
+}
+
 // document is a problem document as of RFC 9457.
 type document struct {
 	Type      string  `json:"type"`
@@ -158,8 +168,12 @@
 	RequestID string  `json:"request_id"`
 }
 
-// minRetryAfter keeps callers from retrying immediately.
-const minRetryAfter = 50 * time.Millisecond
+const (
+	// minRetryAfter keeps callers from retrying immediately.
+	minRetryAfter = 50 * time.Millisecond
+	// minPromise is the shortest Retry-After that the header can state.
+	minPromise = time.Millisecond
+)
 
 // ToResponse returns the problem as the response to a request. Retry-After is
 // in seconds with a decimal fraction.
@@ -171,6 +185,9 @@
 	}
 	if !p.RetryAt.IsZero() {
 		wait := max(minRetryAfter, p.RetryAt.Sub(now))
+		if p.IsPromise {
+			wait = max(minPromise, p.RetryAt.Sub(now))
+		}
 		h["Retry-After"] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
 	}
 	body, err := json.Marshal(document{
--- a/request/outcome/outcome_test.go
+++ b/request/outcome/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -26,3 +27,26 @@
 		})
 	}
 }
+
+// A retry time that was chosen for the time that the caller has left must not be raised: a
+// caller does not wait for more than a third of it. All others keep callers from retrying
+// immediately.
+func TestRetryAfter(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name    string
+		problem *Problem
+		want    string
+	}{
+		{"none", Refused(CodeNoRoute, "test"), ""},
+		{"soon", Refused(CodeTargetFull, "test").WithRetryAt(now.Add(10 * time.Millisecond)), "0.050"},
+		{"promised soon", Refused(CodeTargetFull, "test").WithPromise(now.Add(10 * time.Millisecond)), "0.010"},
+		{"promised now", Refused(CodeTargetFull, "test").WithPromise(now), "0.001"},
+		{"later", Refused(CodeTargetFull, "test").WithRetryAt(now.Add(700 * time.Millisecond)), "0.700"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.problem.ToResponse("1", now).Header.Get("Retry-After"), test.want)
+		})
+	}
+}
