refusal, entry: tell common requests and routes with keys apart from returns of targets

A request that many callers send alike would have been refused as an early return on account of the first one for up to a third of its time. After 10 early returns it counts as new. Routes that need a key are not called by targets, and their callers may return to another node: 20 refused requests must not have returned before such a route's requests are held, in place of 2. Requests with bodies above 64 KiB are not held.

--- a/process/entry/refusals.go
+++ b/process/entry/refusals.go
@@ -25,9 +25,10 @@
 }
 
 const (
-	// maxHeld bounds the requests that one entry holds, and with them the goroutines and
-	// the bodies in memory.
-	maxHeld = 256
+	// maxHeld and maxHeldBody bound the requests that one entry holds and the body of each:
+	// 16 MB of bodies at most, on VMs of 184 MB and more.
+	maxHeld     = 256
+	maxHeldBody = 64 << 10
 	// maxHeldAttempts bounds the gate attempts of a request since it is held.
 	maxHeldAttempts = refusal.MaxHeldRounds * refusal.GatesPerHeldRound
 	// shedPause is how long a request that was shed keeps its last attempt while most gates
@@ -83,13 +84,11 @@
 }
 
 // expectations returns whether the request's caller would return and how long the request
-// is expected to take. A public route of a configuration with customers is used by targets,
-// whose calls are not retried.
+// is expected to take.
 func (r *refusals) expectations(c *call, now time.Time) (callersRetry bool, work time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	assumed := !c.hasCustomers || !c.route.Public
-	return r.memory.CallersRetry(keyOf(c), assumed, now), refusal.ExpectedWork(r.memory.Work(keyOf(c), now), c.targetLatency())
+	return r.memory.CallersRetry(keyOf(c), assumptionFor(c), now), refusal.ExpectedWork(r.memory.Work(keyOf(c), now), c.targetLatency())
 }
 
 // record remembers a refusal and returns its retry time.
@@ -112,4 +111,16 @@
 	return f.RetryAt
 }
 
+// assumptionFor returns what the configuration says about the callers of a request's route.
+// Targets have no key, so that they call public routes.
+func assumptionFor(c *call) refusal.Assumption {
+	switch {
+	case !c.hasCustomers:
+		return refusal.AssumeUnknown
+	case c.route.Public:
+		return refusal.AssumePublic
+	}
+	return refusal.AssumeKey
+}
+
 func keyOf(c *call) refusal.RouteKey { return refusal.RouteKey(routeHash(c.route)) }
--- a/process/entry/shared.go
+++ b/process/entry/shared.go
@@ -126,7 +126,7 @@
 	v := refusal.Decide(refusal.Situation{
 		Now: now, ReceivedAt: c.in.ReceivedAt, Deadline: c.deadline, TargetLatency: c.targetLatency(), Work: work, CallersRetry: callersRetry,
 		EarliestCapacity: earliest, AllNamed: all, HeldRounds: s.shared.heldRounds,
-		CanHold: s.shared.isHeld || e.refusals.held.Load() < maxHeld, Random: rand.Float64(),
+		CanHold: s.shared.isHeld || e.refusals.held.Load() < maxHeld && len(c.body) <= maxHeldBody, Random: rand.Float64(),
 	})
 	if v.Reason != "" {
 		s.shared.reason = v.Reason
--- a/process/refusal/decide.go
+++ b/process/refusal/decide.go
@@ -37,7 +37,8 @@
 	ReasonNoProspect Reason = "no_prospect"
 	// ReasonRoundsUsed means that a held request has used up its rounds.
 	ReasonRoundsUsed Reason = "rounds_used"
-	// ReasonTooManyHeld means that the entry holds as many requests as it may.
+	// ReasonTooManyHeld means that the entry holds as many requests as it may, or that the
+	// body is too large to be held.
 	ReasonTooManyHeld Reason = "too_many_held"
 	// ReasonEarlyReturn means that the request returned before its promised time.
 	ReasonEarlyReturn Reason = "early_return"
--- a/process/refusal/memory.go
+++ b/process/refusal/memory.go
@@ -25,6 +25,13 @@
 	// of a route are taken not to return. A node refuses few calls: the 1,246 of the van
 	// routing deployment were about 30 at each node of `dispatch`.
 	minUnreturned = 2
+	// minUnreturnedWithKey is the same for routes that need a key, which targets do not
+	// call. Their callers may also return to another node, which this one does not see.
+	minUnreturnedWithKey = 20
+	// maxEarlyReturns is how often a request may return before its promised time. A
+	// request that comes more often is not one that returns but one that many callers
+	// send, and must not be refused on account of the first. Callers retry a few times.
+	maxEarlyReturns = 10
 	// minReturnedShare is the share of returns above which callers return. It is low
 	// because holding requests of callers that return is the worse error, and above zero
 	// because two different requests may have the same fingerprint.
@@ -40,6 +47,21 @@
 	maxGap = 100 * time.Millisecond
 )
 
+// Assumption is what a configuration says about the callers of a route.
+type Assumption int
+
+// The assumptions.
+const (
+	// AssumeUnknown means that the configuration has no customers. Callers are taken to
+	// return until a few requests have not.
+	AssumeUnknown Assumption = iota
+	// AssumeKey means that the route needs a key, so that targets do not call it.
+	AssumeKey
+	// AssumePublic means that the route is public and others need a key, so that targets
+	// call it. Callers are taken not to return until one has.
+	AssumePublic
+)
+
 // RouteKey identifies a route.
 type RouteKey uint32
 
@@ -67,6 +89,8 @@
 type record struct {
 	Refusal
 	refusedAt time.Time
+	// earlyReturns counts the returns before RetryAt.
+	earlyReturns int
 	// counts means that the request tells whether callers return: it could have been
 	// served after its retry time. hasReturned means that it has returned.
 	counts, hasReturned bool
@@ -99,6 +123,12 @@
 		return Refusal{}, false
 	}
 	r := e.Value.(*record)
+	if now.Before(r.RetryAt) {
+		if r.earlyReturns++; r.earlyReturns > maxEarlyReturns {
+			m.remove(e)
+			return Refusal{}, false
+		}
+	}
 	if !r.hasReturned {
 		r.hasReturned = true
 		m.route(r.Route, now).judge(true, now)
@@ -145,22 +175,24 @@
 	rt.work += time.Duration(workWeight * float64(took-rt.work))
 }
 
-// CallersRetry reports whether the callers of a route return when they are refused. assumed
-// is returned while nothing is known.
-func (m *Memory) CallersRetry(key RouteKey, assumed bool, now time.Time) bool {
+// CallersRetry reports whether the callers of a route return when they are refused. The
+// assumption decides while little is known.
+func (m *Memory) CallersRetry(key RouteKey, assumed Assumption, now time.Time) bool {
 	m.expire(now)
 	rt := m.route(key, now)
 	if now.Sub(rt.judgedAt) >= evidenceTTL {
 		rt.returned, rt.unreturned = 0, 0
 	}
-	judged := rt.returned + rt.unreturned
-	switch {
-	case rt.returned > 0 && float64(rt.returned) >= minReturnedShare*float64(judged):
+	if judged := rt.returned + rt.unreturned; rt.returned > 0 && float64(rt.returned) >= minReturnedShare*float64(judged) {
 		return true
-	case rt.unreturned >= minUnreturned:
+	}
+	switch assumed {
+	case AssumePublic:
 		return false
+	case AssumeKey:
+		return rt.unreturned < minUnreturnedWithKey
 	}
-	return assumed
+	return rt.unreturned < minUnreturned
 }
 
 // Work returns the measured duration of the requests of a route, or zero.
--- a/process/refusal/memory_test.go
+++ b/process/refusal/memory_test.go
@@ -29,19 +29,20 @@
 		name    string
 		events  []event
 		at      time.Duration
-		assumed bool
+		assumed Assumption
 		want    bool
 	}{
-		{"nothing known, assumed", nil, 0, true, true},
-		{"nothing known, not assumed", nil, 0, false, false},
-		{"one return", []event{{0, 1, false}, {400 * ms, 1, true}}, 500 * ms, false, true},
-		{"an early return", []event{{0, 1, false}, {ms, 1, true}}, 2 * ms, false, true},
-		{"one did not return", []event{{0, 1, false}}, 4 * time.Second, true, true},
-		{"two did not return", []event{{0, 1, false}, {ms, 2, false}}, 4 * time.Second, true, false},
-		{"two have not returned yet", []event{{0, 1, false}, {ms, 2, false}}, 2 * time.Second, true, true},
-		{"half of the requests return", []event{{0, 1, false}, {0, 2, false}, {0, 3, false}, {0, 4, false}, {350 * ms, 1, true}, {350 * ms, 2, true}}, 4 * time.Second, false, true},
-		{"the caller returns twice and gives up", []event{{0, 1, false}, {350 * ms, 1, true}, {350 * ms, 1, false}, {700 * ms, 1, true}, {700 * ms, 1, false}}, 8 * time.Second, false, true},
-		{"the evidence is old", []event{{0, 1, false}, {ms, 2, false}}, evidenceTTL + 8*time.Second, true, true},
+		{"nothing known, assumed", nil, 0, AssumeUnknown, true},
+		{"nothing known, not assumed", nil, 0, AssumePublic, false},
+		{"one return", []event{{0, 1, false}, {400 * ms, 1, true}}, 500 * ms, AssumePublic, true},
+		{"an early return", []event{{0, 1, false}, {ms, 1, true}}, 2 * ms, AssumePublic, true},
+		{"one did not return", []event{{0, 1, false}}, 4 * time.Second, AssumeUnknown, true},
+		{"two did not return", []event{{0, 1, false}, {ms, 2, false}}, 4 * time.Second, AssumeUnknown, false},
+		{"two did not return, with a key", []event{{0, 1, false}, {ms, 2, false}}, 4 * time.Second, AssumeKey, true},
+		{"two have not returned yet", []event{{0, 1, false}, {ms, 2, false}}, 2 * time.Second, AssumeUnknown, true},
+		{"half of the requests return", []event{{0, 1, false}, {0, 2, false}, {0, 3, false}, {0, 4, false}, {350 * ms, 1, true}, {350 * ms, 2, true}}, 4 * time.Second, AssumePublic, true},
+		{"the caller returns twice and gives up", []event{{0, 1, false}, {350 * ms, 1, true}, {350 * ms, 1, false}, {700 * ms, 1, true}, {700 * ms, 1, false}}, 8 * time.Second, AssumePublic, true},
+		{"the evidence is old", []event{{0, 1, false}, {ms, 2, false}}, evidenceTTL + 8*time.Second, AssumeUnknown, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -69,7 +70,7 @@
 		refuse(m, i, time.Duration(i)*ms)
 	}
 	m.Recall(7, start.Add(50*ms))
-	is.True(!m.CallersRetry(1, true, start.Add(4*time.Second)))
+	is.True(!m.CallersRetry(1, AssumeKey, start.Add(4*time.Second)))
 }
 
 // A refusal after which no return could be served says nothing about the callers.
@@ -79,7 +80,7 @@
 	for i := range 5 {
 		m.RecordRefusal(Refusal{Request: fingerprint.Fingerprint(i), Route: 1, RetryAt: start.Add(300 * ms), Deadline: start.Add(200 * ms)}, start)
 	}
-	is.True(m.CallersRetry(1, true, start.Add(4*time.Second)))
+	is.True(m.CallersRetry(1, AssumeUnknown, start.Add(4*time.Second)))
 }
 
 // A request that is refused again keeps the soft deadline of its first attempt. A served
@@ -98,6 +99,21 @@
 	is.True(!ok)
 }
 
+// A request that many callers send alike, such as a status query, must not be refused
+// without an attempt on account of the first one for long.
+func TestCommonRequestIsNotAReturn(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory()
+	refuse(m, 1, 0)
+	early := 0
+	for i := range 100 {
+		if _, ok := m.Recall(1, start.Add(time.Duration(i)*ms)); ok {
+			early++
+		}
+	}
+	is.Equal(early, maxEarlyReturns)
+}
+
 // Guards against memory that grows with the number of requests or routes.
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/process/refusal/replay_test.go
+++ b/process/refusal/replay_test.go
@@ -21,7 +21,7 @@
 	grants func(now time.Duration) (ok bool, capacityAt time.Duration)
 	// returns is when the caller returns after a refusal, if it does.
 	returns func(r replayRequest, now, retryAfter time.Duration) (at time.Duration, ok bool)
-	assumed bool
+	assumed Assumption
 
 	// servedByID holds the requests that were served.
 	servedByID                                      map[int]bool
@@ -134,14 +134,14 @@
 	const outage = 8500 * ms
 	tests := []struct {
 		name    string
-		assumed bool
+		assumed Assumption
 		// least is how many of 30 calls are served, most how many rounds each one takes.
 		least, most int
 		hint        time.Duration
 	}{
-		{"public route of a deployment with customers", false, 12, 1 + MaxHeldRounds, 0},
-		{"route of which nothing is known", true, 12, 1 + MaxHeldRounds, 0},
-		{"gates name their next trial", true, 12, 1 + MaxHeldRounds, 300 * ms},
+		{"public route of a deployment with customers", AssumePublic, 12, 1 + MaxHeldRounds, 0},
+		{"route of which nothing is known", AssumeUnknown, 12, 1 + MaxHeldRounds, 0},
+		{"gates name their next trial", AssumeUnknown, 12, 1 + MaxHeldRounds, 300 * ms},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -179,7 +179,7 @@
 	is := is.New(t)
 	const work = 50 * ms // 20 requests a second
 	var busyUntil time.Duration
-	p := &replay{memory: NewMemory(), servedByID: map[int]bool{}, random: rand.New(rand.NewPCG(3, 4)), assumed: true}
+	p := &replay{memory: NewMemory(), servedByID: map[int]bool{}, random: rand.New(rand.NewPCG(3, 4)), assumed: AssumeKey}
 	p.grants = func(now time.Duration) (bool, time.Duration) {
 		if busyUntil > now+2*work {
 			return false, busyUntil - work
