--- a/cmd/cuminwheel/standin_caller.go
+++ b/cmd/cuminwheel/standin_caller.go
@@ -25,6 +25,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "how long to send requests"},
 			&cli.DurationFlag{Name: "timeout", Value: 2 * time.Second, Usage: "timeout of each request"},
 			&cli.IntFlag{Name: "in-flight", Value: 1000, Usage: "maximum number of concurrent requests"},
+			&cli.IntFlag{Name: "returns", Usage: "how often a refused request is sent again after its Retry-After"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random choices"},
 			stringFlag("output", "table", "output format: table or json"),
 		},
@@ -50,6 +51,7 @@
 		Timeout:     c.Duration("timeout"),
 		Host:        c.String("host"),
 		MaxInFlight: c.Int("in-flight"),
+		MaxReturns:  c.Int("returns"),
 		Seed:        c.Uint64("seed"),
 	})
 	defer closeGenerator()
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -36,6 +36,11 @@
 	// MaxInFlight bounds the requests in progress. Those beyond it are not sent,
 	// only counted.
 	MaxInFlight int
+	// MaxReturns is how often a caller sends a refused request again, under a new ID, when
+	// Retry-After says so. It waits at most a third of the time that it has left. If it is
+	// above 0, each request has a path of its own, so that a return can be told from
+	// another request.
+	MaxReturns int
 	// Seed determines the sequence of requests.
 	Seed uint64
 }
@@ -119,8 +124,8 @@
 
 // call is a request to be sent.
 type call struct {
-	method, address, path, id string
-	isClaim                   bool
+	method, address, path, id, body string
+	isClaim                         bool
 }
 
 // nextCall draws the next request.
@@ -131,26 +136,81 @@
 		id:      strconv.FormatUint(rng.Uint64(), 36),
 		isClaim: len(g.workload.ClaimPaths) > 0 && rng.Float64() < g.workload.ClaimShare,
 	}
-	if !c.isClaim {
+	if c.isClaim {
+		c.method, c.body = http.MethodPost, c.id
+		c.path = g.workload.ClaimPaths[rng.IntN(len(g.workload.ClaimPaths))]
+	} else {
 		c.path = g.workload.Paths[rng.IntN(len(g.workload.Paths))]
-		return c
 	}
-	c.method = http.MethodPost
-	c.path = g.workload.ClaimPaths[rng.IntN(len(g.workload.ClaimPaths))]
+	if g.workload.MaxReturns > 0 {
+		c.path += "?request=" + c.id
+	}
 	return c
 }
 
-// callAndRecord sends a request and records its outcome. Responses of the proxy carry
-// an outcome code, responses of a target none.
+// callAndRecord sends a request, and sends it again if it is refused and its caller can
+// wait for the retry time. It records the outcome of the last attempt in the report.
 func (g *Generator) callAndRecord(ctx context.Context, c call) {
 	ctx, cancel := context.WithTimeout(ctx, g.workload.Timeout+time.Second)
 	defer cancel()
 	start := time.Now()
-	res, body, err := g.send(ctx, c)
-	latency := time.Since(start)
+	g.updateReport(func(r *Report) { r.Sent++ })
+	id, left := c.id, g.workload.Timeout
+	for returns := 0; ; {
+		res, body, err := g.send(ctx, c, left)
+		left = g.workload.Timeout - time.Since(start)
+		wait, ok := returnDelay(res, left)
+		if err != nil || !ok || returns >= g.workload.MaxReturns {
+			g.record(c, res, body, err, time.Since(start))
+			return
+		}
+		g.recordReturn(c)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		returns++
+		c.id = id + "r" + strconv.Itoa(returns)
+		left = g.workload.Timeout - time.Since(start)
+	}
+}
+
+// maxWaitShare is the longest time that a caller waits before it returns, as a share of the
+// time that it has left.
+const maxWaitShare = 1.0 / 3
+
+// returnDelay returns how long the caller of a refused request waits before it returns.
+func returnDelay(res *http.Response, left time.Duration) (wait time.Duration, ok bool) {
+	if res == nil || !isRefusal(res) {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0, false
+	}
+	wait = time.Duration(seconds * float64(time.Second))
+	return wait, wait <= time.Duration(maxWaitShare*float64(left))
+}
+
+// isRefusal reports whether a response of the proxy says that the request did not run.
+func isRefusal(res *http.Response) bool {
+	return res.Header.Get(outcome.HeaderCode) != "" && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests)
+}
+
+// recordReturn records an attempt that was refused and is sent again under another ID.
+func (g *Generator) recordReturn(c call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.report.Returns++
+	g.resultsByID[c.id] = callResult{isClaim: c.isClaim, isReportedNotRun: true}
+}
+
+// record records the outcome of a request. Responses of the proxy carry an outcome code,
+// responses of a target none.
+func (g *Generator) record(c call, res *http.Response, body []byte, err error, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.report.Sent++
 	result := callResult{isClaim: c.isClaim}
 	defer func() { g.resultsByID[c.id] = result }()
 	if err != nil {
@@ -170,7 +230,7 @@
 		result.isAnswered = true
 		// Recording cannot fail: the value is clamped to the bounds of the histogram.
 		_ = g.latencies.RecordValue(min(maxMicros, max(minMicros, latency.Microseconds())))
-	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests:
+	case isRefusal(res):
 		g.report.NotRun++
 		g.report.Codes[code]++
 		result.isReportedNotRun = true
@@ -180,10 +240,10 @@
 	}
 }
 
-func (g *Generator) send(ctx context.Context, c call) (*http.Response, []byte, error) {
+func (g *Generator) send(ctx context.Context, c call, timeout time.Duration) (*http.Response, []byte, error) {
 	var body io.Reader
-	if c.isClaim {
-		body = strings.NewReader(c.id)
+	if c.body != "" {
+		body = strings.NewReader(c.body)
 	}
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.address+c.path, body)
 	if err != nil {
@@ -192,7 +252,7 @@
 	req.GetBody = nil // prevents the transport from resending a claim
 	req.Host = g.workload.Host
 	req.Header.Set("Cuminwheel-Request-Id", c.id)
-	req.Header.Set("Cuminwheel-Deadline-Ms", strconv.FormatInt(g.workload.Timeout.Milliseconds(), 10))
+	req.Header.Set("Cuminwheel-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	res, err := g.client.Do(req)
 	if err != nil {
 		return nil, nil, err
--- a/standin/caller/doc.go
+++ b/standin/caller/doc.go
@@ -6,6 +6,9 @@
 // each request by what its caller learns: answered by the target, refused without
 // having run, outcome unknown, or no response at all.
 //
+// A caller may send a refused request again when Retry-After says so, as the same request
+// under a new ID.
+//
 // Audit then compares these outcomes with the targets' records of the requests that
 // they executed, which ReadExecutions reads.
 package caller
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -26,6 +26,9 @@
 	Unknown int `json:"unknown"`
 	// NoResponse counts requests without a complete HTTP response.
 	NoResponse int `json:"no_response"`
+	// Returns counts the refused requests that were sent again; the counts above hold the
+	// outcome of the last attempt.
+	Returns int `json:"returns"`
 	// NotSent counts requests that would have exceeded Workload.MaxInFlight.
 	NotSent int `json:"not_sent"`
 	// Invalid counts responses that were truncated or belonged to another request.
@@ -126,7 +129,7 @@
 	}{
 		{"requests sent", r.Sent}, {"complete responses", r.Answered}, {"target errors", r.Errors},
 		{"refused, not run", r.NotRun}, {"failed, outcome unknown", r.Unknown},
-		{"no response", r.NoResponse}, {"not sent (in-flight limit)", r.NotSent},
+		{"no response", r.NoResponse}, {"sent again after a refusal", r.Returns}, {"not sent (in-flight limit)", r.NotSent},
 		{"truncated or wrong responses", r.Invalid},
 		{"p50 ms", r.P50Millis}, {"p99 ms", r.P99Millis}, {"max ms", r.MaxMillis},
 		{"claims", r.Claims}, {"claims executed more than once", r.Duplicated}, {"answered but not executed", r.AnsweredWithoutRun},
