entry: keep the last attempt of a held request until targets stop shedding

A request that was shed kept its last attempt for 200 ms only, and then lost it, with a part of the retry budget, to the next target that shed. It now keeps it while most of the known gates are full, suspected or unreachable, up to its last round. Gates report themselves as full for a second after a shed.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -143,7 +143,7 @@
 		for i, c := range candidates {
 			snapshots[i] = c.snapshot(now)
 		}
-		if s.defersLastAttempt(snapshots, now) {
+		if s.defersLastAttempt(candidates, snapshots, now) {
 			return false
 		}
 		latest := now.Add(p.queueTimeout(s.call.targetLatency(), s.call.deadline.Sub(now)))
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -143,7 +143,6 @@
 	}
 	if p.Code == outcome.CodeShed || p.Code == outcome.CodeMisdirected {
 		s.targetAttempts++
-		s.shared.lastShedAt = time.Now()
 	}
 	if p.Outcome == outcome.Unknown {
 		s.targetAttempts++
--- a/process/entry/refusals.go
+++ b/process/entry/refusals.go
@@ -31,10 +31,6 @@
 	maxHeldBody = 64 << 10
 	// maxHeldAttempts bounds the gate attempts of a request since it is held.
 	maxHeldAttempts = refusal.MaxHeldRounds * refusal.GatesPerHeldRound
-	// shedPause is how long a request that was shed keeps its last attempt while most gates
-	// of its service are unavailable. While all targets shed, requests would otherwise use
-	// up both attempts within milliseconds.
-	shedPause = 200 * time.Millisecond
 	// retryBudgetPause is how long a held request does not ask a gate again that had no
 	// retry budget left.
 	retryBudgetPause = 500 * time.Millisecond
--- a/process/entry/shared.go
+++ b/process/entry/shared.go
@@ -17,8 +17,6 @@
 	// isHeld means that the request is held; heldRounds counts its rounds since then.
 	isHeld     bool
 	heldRounds int
-	// lastShedAt is when a target last shed the request.
-	lastShedAt time.Time
 	// reason is why the rounds ended, or "".
 	reason refusal.Reason
 }
@@ -80,18 +78,27 @@
 }
 
 // defersLastAttempt reports whether a request that was shed keeps its last attempt for now:
-// its caller would not return, and at least half of the gates are unavailable.
-func (s *dispatchState) defersLastAttempt(snapshots []snapshot, now time.Time) bool {
-	if !s.shared.mayHold || s.targetAttempts == 0 || s.targetAttempts+1 < s.call.route.MaxAttempts || now.Sub(s.shared.lastShedAt) >= shedPause {
+// its caller would not return, and most gates are unavailable, as far as they are known. A gate
+// reports itself as full for a second after its target has shed a request. While
+// all targets shed, requests would otherwise use up both attempts within milliseconds, and the
+// retry budget with them. The first attempts of other requests find the end of it. In its last
+// round a request has nothing to keep the attempt for.
+func (s *dispatchState) defersLastAttempt(candidates []*candidate, snapshots []snapshot, now time.Time) bool {
+	if !s.shared.mayHold || s.targetAttempts == 0 || s.targetAttempts+1 < s.call.route.MaxAttempts || s.shared.heldRounds >= refusal.MaxHeldRounds {
 		return false
 	}
-	unavailable := 0
-	for _, snap := range snapshots {
-		if snap.unreachable || snap.notAccepting || snap.suspected || snap.load >= 1 {
+	known, unavailable := 0, 0
+	for i, snap := range snapshots {
+		isUnavailable := snap.notAccepting || snap.suspected || snap.load >= 1 || s.capacityAt[candidates[i]].After(now)
+		switch {
+		case snap.unreachable || isUnavailable:
+			known++
 			unavailable++
+		case snap.stateAge < stateTTL:
+			known++
 		}
 	}
-	return 2*unavailable >= len(snapshots)
+	return unavailable >= min(2, len(snapshots)) && 2*unavailable >= known
 }
 
 // namedCapacity returns the earliest future time at which a gate said that it will have
--- a/process/entry/shared_test.go
+++ b/process/entry/shared_test.go
@@ -274,3 +274,44 @@
 	_, isKnown := f.entry.refusals.recall(claimFingerprint, time.Now())
 	is.True(!isKnown) // served requests are forgotten
 }
+
+// Guards against a request that uses up its attempts while all targets shed, and against one
+// that waits although only a single target sheds.
+func TestLastAttemptIsDeferred(t *testing.T) {
+	now := time.Now()
+	ok, old := snapshot{stateAge: time.Millisecond}, snapshot{stateAge: time.Minute}
+	bad, shed := snapshot{stateAge: time.Millisecond, suspected: true}, snapshot{stateAge: time.Millisecond, load: 1}
+	state := func(change func(*dispatchState)) *dispatchState {
+		s := &dispatchState{call: &call{route: configuration.Route{MaxAttempts: 2}}, targetAttempts: 1, capacityAt: map[*candidate]time.Time{}}
+		s.shared.mayHold = true
+		change(s)
+		return s
+	}
+	same := func(*dispatchState) {}
+	for _, test := range []struct {
+		name      string
+		change    func(*dispatchState)
+		snapshots []snapshot
+		want      bool
+	}{
+		{"all shed", same, []snapshot{shed, shed}, true},
+		{"all suspected", same, []snapshot{bad, bad}, true},
+		{"one of two shed", same, []snapshot{shed, ok}, false},
+		{"one shed, the others are not known", same, []snapshot{shed, old, old, old}, false},
+		{"two shed, the others are not known", same, []snapshot{shed, shed, old, old, old, old}, true},
+		{"two shed, three are well", same, []snapshot{shed, shed, ok, ok, ok}, false},
+		{"the only target sheds", same, []snapshot{shed}, true},
+		{"the first attempt", func(s *dispatchState) { s.targetAttempts = 0 }, []snapshot{shed, shed}, false},
+		{"the last round", func(s *dispatchState) { s.shared.heldRounds = 8 }, []snapshot{shed, shed}, false},
+		{"the caller returns", func(s *dispatchState) { s.shared.mayHold = false }, []snapshot{shed, shed}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var candidates []*candidate
+			for range test.snapshots {
+				candidates = append(candidates, &candidate{})
+			}
+			is.Equal(state(test.change).defersLastAttempt(candidates, test.snapshots, now), test.want)
+		})
+	}
+}
