--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -22,8 +22,12 @@
 // attempt goes on, when its gate reports that it has stalled or when half of its time
 // is over.
 //
+// If the configuration's scheduling is shared, package refusal decides which requests wait for
+// further rounds, and what a refusal promises. Requests whose callers would not return are
+// held; a request that returns before its promised time is refused without an attempt.
+//
 // Decisions are kept apart from I/O. selection.go chooses the next gate and the
 // time that the request may wait there, candidate.go tracks the state of a gate
-// and its expiry, and dispatch_state.go tracks one request. dispatch.go and
-// probe.go do the I/O.
+// and its expiry, and dispatch_state.go tracks one request, shared.go its part of the
+// shared scheduling. dispatch.go and probe.go do the I/O.
 package entry
--- a/process/entry/shared_test.go
+++ b/process/entry/shared_test.go
@@ -315,3 +315,27 @@
 		})
 	}
 }
+
+// Guards against held requests that fill the memory of a small VM.
+func TestLargeBodiesAreNotHeld(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		size int
+		want bool
+	}{{"at the bound", maxHeldBody, true}, {"above it", maxHeldBody + 1, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newGateFleet(t, respondOK("a"))
+			now := time.Now()
+			s := &dispatchState{capacityAt: map[*candidate]time.Time{}, call: &call{
+				in: &http1.IncomingRequest{ReceivedAt: now}, deadline: now.Add(time.Second), body: make([]byte, test.size),
+				hasCustomers: true, route: configuration.Route{Public: true, MaxAttempts: 2},
+			}}
+			_, ok := f.entry.awaitNextRound(s, f.entry.directory.candidates("s"), now)
+			is.Equal(ok, test.want)
+			is.Equal(s.shared.isHeld, test.want)
+			f.entry.endHold(s)
+			is.Equal(f.entry.refusals.held.Load(), int64(0))
+		})
+	}
+}
