--- a/process/entry/doc.go
+++ b/process/entry/doc.go
@@ -31,8 +31,12 @@
 // gates report, the entry's own requests, and the pace of each target and the round-trip
 // time to each gate, measured from the requests.
 //
+// If the configuration's scheduling is shared, package refusal decides which requests wait for
+// further rounds, and what a refusal promises. Requests whose callers would not return are
+// held; a request that returns before its promised time is refused without an attempt.
+//
 // Decisions are kept apart from I/O. selection.go chooses the next gate and the
 // time that the request may wait there, candidate.go tracks the state of a gate
-// and its expiry, and dispatch_state.go tracks one request. dispatch.go and
-// probe.go do the I/O.
+// and its expiry, and dispatch_state.go tracks one request, shared.go its part of the
+// shared scheduling. dispatch.go and probe.go do the I/O.
 package entry
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -57,6 +57,7 @@
 	// RecordOverruledChoice records that a gate that even balancing chose refused the
 	// request.
 	RecordOverruledChoice(service string, code outcome.Code)
+	RefusalMeter
 }
 
 // Quarantine knows the requests that crash targets.
@@ -102,6 +103,7 @@
 type Entry struct {
 	options   Options
 	directory *directory
+	refusals  *refusals
 	// startedAt is the start of the startup wait.
 	startedAt time.Time
 
@@ -115,7 +117,7 @@
 // New returns an entry and a function that closes its connections to gates.
 func New(o Options) (*Entry, func()) {
 	d := newDirectory(o.Nodes, o.DataCentre, o.Region, o.Bodies)
-	e := &Entry{options: o, directory: d, startedAt: time.Now(), splitPoints: map[string]float64{}}
+	e := &Entry{options: o, directory: d, refusals: newRefusals(), startedAt: time.Now(), splitPoints: map[string]float64{}}
 	return e, func() {
 		e.keyWatch.close()
 		d.close()
@@ -137,8 +139,12 @@
 	key string
 	// customer is that of the key; its name is empty if the request needs no key.
 	customer customer.Customer
-	// even means that even balancing chooses the gates.
-	even bool
+	// modes and hasCustomers are those of the configuration that the route is from.
+	modes        configuration.Modes
+	hasCustomers bool
+	// returnSoftDeadline is the soft deadline of a request that was refused before, or
+	// zero. Only the shared scheduling sets it.
+	returnSoftDeadline time.Time
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -240,7 +246,7 @@
 		return outcome.Refused(outcome.CodeNoRoute, "configuration %d has no route for the host and path", current.Version)
 	}
 	c.route = route
-	c.even = current.Modes().IsEven()
+	c.modes, c.hasCustomers = current.Modes(), current.Customers().Len() > 0
 	customers := current.Customers()
 	if customers.Len() == 0 || route.Public {
 		return nil
