--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/cuminwheel/cuminwheel/version/customer"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -66,6 +67,8 @@
 	Logger         hclog.Logger
 	Meter          Meter
 	Quarantine     Quarantine
+	// Quotas limits the requests of customers; nil sets no limit.
+	Quotas Quotas
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// ShutdownDeadline returns when requests in progress at a leaving node must
@@ -102,6 +105,8 @@
 	route                configuration.Route
 	service              string
 	deadline             time.Time
+	// customer is the caller's customer; its zero value is none.
+	customer customer.Customer
 }
 
 // relayMargin is the time between the latest deadline of a request and the
@@ -145,7 +150,7 @@
 	var code outcome.Code
 	attempts := 0
 	if problem == nil {
-		resp, attempts, problem = e.dispatch(ctx, c)
+		resp, attempts, problem = e.dispatchWithinQuota(ctx, c, c.customer)
 	}
 	now := time.Now()
 	if problem != nil {
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -52,6 +52,8 @@
 	// CodeDeadlineExceeded means that the deadline passed before the request was
 	// run.
 	CodeDeadlineExceeded Code = "not_in_time"
+	// CodeOverQuota means that the customer has used up its quota.
+	CodeOverQuota Code = "over_quota"
 	// CodeRetryBudget means that the retry budget is used up.
 	CodeRetryBudget Code = "retry_budget"
 	// CodeShed means that the target itself rejected the request without running it.
@@ -129,6 +131,8 @@
 	switch code {
 	case CodeNoRoute:
 		return http.StatusNotFound
+	case CodeOverQuota:
+		return http.StatusTooManyRequests
 	case CodeBadRequest:
 		return http.StatusBadRequest
 	case CodeBodyTooLarge:
--- a/request/outcome/outcome_test.go
+++ b/request/outcome/outcome_test.go
@@ -9,7 +9,7 @@
 
 var codes = []Code{
 	CodeNoRoute, CodeBadRequest, CodeBodyTooLarge, CodeNotReady, CodeNoTarget, CodeDraining, CodeTargetSuspected, CodeTargetFull,
-	CodeDeadlineExceeded, CodeRetryBudget, CodeShed, CodeMisdirected, CodeUnreachable, CodeCallerDisconnected,
+	CodeDeadlineExceeded, CodeRetryBudget, CodeOverQuota, CodeShed, CodeMisdirected, CodeUnreachable, CodeCallerDisconnected,
 	CodeTimeout, CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeGateConnectionLost,
 }
 
