node: serve Quota, show the customers nearest to their quota

The node creates the home and the client and serves the RPC receiver Quota beside Roster. /status and /metrics show the five customers nearest to their quota, of those whose home the node is.

--- a/process/node/doc.go
+++ b/process/node/doc.go
@@ -1,5 +1,5 @@
 // Package node assembles a node from its parts and runs it: the entry, the gate,
-// the membership gossip and the configuration follower.
+// the membership gossip, the quotas and the configuration follower.
 //
 // A node goes through these states:
 //
--- a/process/node/http.go
+++ b/process/node/http.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 )
@@ -55,8 +57,13 @@
 	Suspected     bool   `json:"target_suspect"`
 	Outstanding   int    `json:"target_busy"`
 	Slots         int    `json:"target_slots"`
+	// Quotas are the customers nearest to their quota, of those whose home the node is.
+	Quotas []quota.Usage `json:"quotas,omitempty"`
 }
 
+// nearestQuotas is the number of customers that status and metrics show.
+const nearestQuotas = 5
+
 // newMetricsHandler returns the handler of the metrics address.
 func (n *Node) newMetricsHandler() http.Handler {
 	e := echo.New()
@@ -66,7 +73,7 @@
 		return c.JSON(http.StatusOK, status{
 			Node: n.settings.Name, StartedAt: n.startedAt.UnixMilli(), Ready: n.isReady(), Leaving: n.isLeaving.Load(),
 			Configuration: n.configuration.Configuration().Version, Nodes: len(n.view.Nodes()),
-			GateOpen: s.Accepting, Suspected: s.Suspected, Outstanding: s.Outstanding, Slots: s.Slots,
+			GateOpen: s.Accepting, Suspected: s.Suspected, Outstanding: s.Outstanding, Slots: s.Slots, Quotas: n.quotas.Nearest(nearestQuotas),
 		})
 	})
 	return e
@@ -76,6 +83,9 @@
 func (n *Node) writeMetrics(c echo.Context) error {
 	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 	n.meter.set.WritePrometheus(c.Response())
+	for _, u := range n.quotas.Nearest(nearestQuotas) {
+		metrics.WriteGaugeFloat64(c.Response(), fmt.Sprintf(`cuminwheel_quota_used{customer=%q}`, u.Customer), u.Used)
+	}
 	metrics.WriteProcessMetrics(c.Response())
 	return nil
 }
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -46,6 +46,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`cuminwheel_request_seconds{route=%q}`, route)).Update(took.Seconds())
 }
 
+// RecordQuotaDecision records whether a request of a customer with a quota was allowed.
+func (m *meter) RecordQuotaDecision(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_quota_requests_total{result=%q}`, result)).Inc()
+}
+
+// RecordQuotaCall records a call for tokens to another node.
+func (m *meter) RecordQuotaCall() {
+	m.set.GetOrCreateCounter("cuminwheel_quota_calls_total").Inc()
+}
+
 // RecordGateAttempt records an attempt to send a request to a gate.
 func (m *meter) RecordGateAttempt(tier string, code outcome.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cuminwheel_asks_total{tier=%q,code=%q}`, tier, code)).Inc()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
+	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
@@ -69,6 +70,8 @@
 	gate          *gate.Gate
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
+	// quotas grants tokens of the customers whose home the node is.
+	quotas *quota.Home
 	// bodies is the budget for all bodies that the entry and the gate hold.
 	bodies *http1.BodyBudget
 
@@ -118,6 +121,7 @@
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster"))
+	n.quotas = quota.NewHome(n.view.Self().ControlAddress, n.view, pool)
 
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
@@ -130,6 +134,7 @@
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
+		Quotas: quota.NewClient(n.quotas, n.meter, n.logger.Named("quota")),
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
@@ -152,7 +157,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Control)
 	}
-	closeControl, err := peerrpc.Serve(control, map[string]any{membership.ReceiverName: membership.NewReceiver(n.gossiper)})
+	closeControl, err := peerrpc.Serve(control, map[string]any{
+		membership.ReceiverName: membership.NewReceiver(n.gossiper), quota.ReceiverName: quota.NewReceiver(n.quotas),
+	})
 	if err != nil {
 		control.Close()
 		return err
