--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -89,6 +89,8 @@
 	Quarantine     Quarantine
 	// Contacts records which nodes were reached; nil records nothing.
 	Contacts Contacts
+	// Quotas limits the requests of customers; nil sets no limit.
+	Quotas Quotas
 	// Bodies is the budget for the bodies of responses; nil sets no limit.
 	Bodies *http1.BodyBudget
 	// ShutdownDeadline returns when requests in progress at a leaving node must
@@ -184,13 +186,11 @@
 // Serve returns the response to a caller's request. It is an http1.Handler.
 func (e *Entry) Serve(ctx context.Context, in *http1.IncomingRequest) *http1.Response {
 	c, problem := e.prepareCall(ctx, in)
-	// From here on the request is authenticated: c.customer is its customer, if it has one.
-	// Checks of the customer that precede all attempts belong here.
 	var resp *http1.Response
 	var code outcome.Code
 	attempts := 0
 	if problem == nil {
-		resp, attempts, problem = e.dispatch(ctx, c)
+		resp, attempts, problem = e.dispatchWithinQuota(ctx, c, c.customer)
 	}
 	now := time.Now()
 	if problem != nil {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
+	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -74,6 +75,8 @@
 	quarantine *quarantine.Table
 	// contacts knows whether the node is isolated.
 	contacts contact.Tracker
+	// quotas grants tokens of the customers whose home the node is.
+	quotas *quota.Home
 	// bodies is the budget for all bodies that the entry and the gate hold.
 	bodies *http1.BodyBudget
 
@@ -123,6 +126,7 @@
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster")).WithContacts(&n.contacts)
+	n.quotas = quota.NewHome(n.view.Self().ControlAddress, n.view, pool)
 
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
@@ -137,6 +141,7 @@
 		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
 		KnownVersion: n.gossiper.KnownVersion,
+		Quotas:       quota.NewClient(n.quotas, n.meter, n.logger.Named("quota")),
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
@@ -178,7 +183,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Control)
 	}
-	closeControl, err := peerrpc.Serve(control, map[string]any{membership.ReceiverName: membership.NewReceiver(n.gossiper)})
+	closeControl, err := peerrpc.Serve(control, map[string]any{
+		membership.ReceiverName: membership.NewReceiver(n.gossiper), quota.ReceiverName: quota.NewReceiver(n.quotas),
+	})
 	if err != nil {
 		control.Close()
 		return err
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -138,12 +138,12 @@
 	switch code {
 	case CodeNoRoute:
 		return http.StatusNotFound
+	case CodeOverQuota:
+		return http.StatusTooManyRequests
 	case CodeBadRequest:
 		return http.StatusBadRequest
 	case CodeUnauthorized:
 		return http.StatusUnauthorized
-	case CodeOverQuota:
-		return http.StatusTooManyRequests
 	case CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case CodeTimeout:
