schedule: detect shedding instead of adapting a concurrency limit

Cause: the limit assumed that targets which refuse are overloaded.

Change: schedule.Limit becomes schedule.Shedding. With the shared scheduling a target runs as many requests as its announced slots. Ten refusals in a row show that it refuses everything; then it gets single requests after 200, 400, 800 and 1,600 ms, and all slots again as soon as it runs one. A request in between counts by the order of starts and by that of responses. Entries see the announced slots, a shedding target as full until its next request is due, and else for shedCooldown after a refusal an outstanding count raised by the slots. Removed: additive increase and multiplicative decrease, the completion curve, slow start, the warm-up limit and the metric cuminwheel_target_concurrency_limit.

Tests removed, since their subject is: TestLimitSettlesAtHighestRate, TestSlowEpisodeIsForgotten, TestCurveSeparatesRoutes (completion curve), TestLimitFollowsCapacity, TestLimitBounds (limit below the slots), and BenchmarkLimit, replaced by BenchmarkShedding. Tests changed: - TestWarmingUpTargetStartsAtHalf becomes TestWarmingUpTargetKeepsItsSlots: the warm-up limit is gone, the warm-up penalty is tested instead. - TestReportedLimitOfSheddingTarget becomes TestReportedStateOfRefusingTarget: announced slots and the cooldown. - TestSheddingTargetKeepsAttempts compares the share of refused arrivals with the default scheduling (under a tenth). The absolute bound is 10 + slots + 7 instead of slots + 7, since ten refusals detect the shedding. - TestSheddingTargetGetsSingleRequests: the same bound; it also checks that a shedding target has one request at a time, and all slots in use with the first request that it has run. - TestShedRefusalStatesRetryTime: ten refusals instead of one. - TestGateUsesSchedulingOfConfiguration: all three targets shed. With the cooldown, entries prefer others to a single one, which got fewer than ten requests in 1.5 s. The metric of the limit is gone.

--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -62,12 +62,12 @@
 	// scheduling.
 	item *schedule.Item
 	// identity is that of the target's incarnation.
-	identity  uint64
+	identity uint64
+	// number counts the requests that the incarnation was granted slots for.
+	number    uint64
 	routeHash uint32
 	isTrial   bool
 	run       *run
-	// running is the number of requests that ran at the start, including this one.
-	running int
 }
 
 // admit returns a grant for the request or the problem for which it is refused.
@@ -161,7 +161,7 @@
 func (g *Gate) takeSlot(req hopheader.Request, now time.Time, isTrial bool) grant {
 	g.target.inFlight++
 	g.target.restrictions.limiter.take(now)
-	g.target.limit.Start(now)
+	number := g.target.shedding.Start(now)
 	switch {
 	case req.RetryCharged:
 	case req.IsRetry:
@@ -169,7 +169,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}, running: g.target.inFlight}
+	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, number: number, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -43,11 +43,11 @@
 //
 // # Overload
 //
-// If the configuration's scheduling is shared, package schedule decides how many requests
-// run at the target, which of the queued ones goes next, and when refused callers are to
-// return (scheduling.go, shared.go); a request whose announced body does not fit into
-// memory is refused before the body is read (bodies.go). Otherwise the slots and the order
-// of queue.go apply.
+// If the configuration's scheduling is shared, package schedule decides when a target that
+// refuses everything gets its next request, which of the queued requests goes next, and when
+// refused callers are to return (scheduling.go, shared.go); a request whose announced body
+// does not fit into memory is refused before the body is read (bodies.go). Otherwise the
+// order of queue.go applies.
 //
 // # Callers
 //
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -238,8 +238,8 @@
 		s.Outstanding += warmupPenalty
 	}
 	switch {
-	case g.isShared():
-		g.addLimit(&s, now)
+	case g.isShared() && g.target.shedding.IsShedding():
+		g.addShedding(&s, now)
 	case now.Sub(g.target.shedAt) < shedCooldown:
 		s.Outstanding += s.Slots
 	}
@@ -298,7 +298,7 @@
 // holds mu.
 func (g *Gate) recordResult(gr grant, res result, now time.Time) {
 	wasSuspected := g.target.breaker.IsSuspected(now)
-	g.recordForLimit(gr, res, now)
+	g.recordForShedding(gr, res, now)
 	switch res {
 	case resultSuccess:
 		g.target.breaker.RecordSuccess(now)
--- a/process/gate/promises_test.go
+++ b/process/gate/promises_test.go
@@ -70,9 +70,11 @@
 		is := is.New(t)
 		g := newSharedGate(t, 5)
 		shed := func() *outcome.Problem { return outcome.Refused(outcome.CodeShed, "test") }
-		gr, p := g.admit(t.Context(), requestWithin(0))
-		is.True(p == nil)
-		g.release(gr, resultShed)
+		for range 10 {
+			gr, p := g.admit(t.Context(), requestWithin(0))
+			is.True(p == nil)
+			g.release(gr, resultShed)
+		}
 		is.Equal(g.withShedRetry(shed()).RetryAt, time.Now().Add(200*time.Millisecond))
 		is.True(g.withShedRetry(outcome.Refused(outcome.CodeDraining, "test")).RetryAt.IsZero())
 		is.True(g.withShedRetry(nil) == nil)
--- a/process/gate/shared.go
+++ b/process/gate/shared.go
@@ -135,7 +135,7 @@
 // callers. The caller holds mu.
 func (g *Gate) promiseRetry(wait time.Duration, now time.Time) time.Time {
 	slots := g.slotLimit()
-	if g.target.limit.IsShedding() {
+	if g.target.shedding.IsShedding() {
 		// Nothing is known of the capacity after the shedding; before it, all slots worked.
 		slots = g.target.announced.Slots
 	}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -30,8 +30,8 @@
 	durations        durations
 	breaker          health.CircuitBreaker
 	restrictions     restrictions
-	// limit is recorded with every scheduling, and applies with the shared one.
-	limit schedule.Limit
+	// shedding is recorded with every scheduling, and applies with the shared one.
+	shedding schedule.Shedding
 	// sent counts the requests that the incarnation was sent.
 	sent int
 }
@@ -79,7 +79,6 @@
 		// An incarnation that drains never reopens.
 		a.Draining = a.Draining || t.announced.Draining
 		t.announced, t.lastAnnouncedAt = a, now
-		t.limit.SetSlots(a.Slots, now.Before(a.WarmupEndsAt))
 		return changed, nil
 	case t.mayBeDeregistered(a) || !a.StartedAt.After(t.announced.StartedAt):
 		previous := t.pendingAnnouncement
@@ -91,7 +90,6 @@
 	}
 	*t = t.renewed(a.identity())
 	t.announced, t.isKnown, t.lastAnnouncedAt = a, true, now
-	t.limit.SetSlots(a.Slots, now.Before(a.WarmupEndsAt))
 	return true, nil
 }
 
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -34,7 +34,6 @@
 		}
 		return limit
 	})
-	m.set.NewGauge("cuminwheel_target_concurrency_limit", func() float64 { return float64(n.gate.Scheduling().Limit) })
 	m.set.NewGauge("cuminwheel_target_shedding", func() float64 {
 		if n.gate.Scheduling().IsShedding {
 			return 1
