--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -64,7 +64,13 @@
 	defer cancel(errOtherGateResponded)
 	// Each attempt sends one final result and at most one hedge notice, so that
 	// sends never block.
-	s := &dispatchState{call: c, results: make(chan result, 2*maxGateAttempts), excluded: map[*candidate]bool{}, capacityAt: map[*candidate]time.Time{}}
+	s := &dispatchState{call: c, results: make(chan result, 2*(maxGateAttempts+maxHeldAttempts)), excluded: map[*candidate]bool{}, capacityAt: map[*candidate]time.Time{}}
+	if c.modes.IsShared() {
+		if p := e.recallRefusal(s); p != nil {
+			return nil, 0, p
+		}
+		defer e.endHold(s)
+	}
 	e.runRounds(ctx, s)
 	// Attempts that are still in flight may yet bring a response.
 	for s.response == nil && s.inFlight > 0 {
@@ -76,7 +82,11 @@
 	if s.response != nil {
 		return s.response, s.gateAttempts, nil
 	}
-	return nil, s.gateAttempts, s.finalProblem()
+	p := s.finalProblem()
+	if c.modes.IsShared() {
+		p = e.promiseRetry(ctx, s, p)
+	}
+	return nil, s.gateAttempts, p
 }
 
 // runRounds repeats the passes until the request's outcome is certain, no gate
@@ -86,20 +96,30 @@
 	c := s.call
 	latestRound := c.in.ReceivedAt.Add(time.Duration(roundLatencyShare * float64(c.targetLatency())))
 	for {
-		for _, p := range selectionPasses {
-			if e.runPass(ctx, s, p) {
+		for _, p := range s.passes() {
+			if done := e.runPass(ctx, s, p); done && !s.continuesWithoutBudget() {
 				return
+			} else if done {
+				break
 			}
 		}
 		now := time.Now()
-		mayHaveGates := len(e.directory.candidates(c.service)) > 0 || now.Before(e.startedAt.Add(startupWait))
-		if now.After(latestRound) || s.inFlight > 0 || !mayHaveGates {
+		candidates := e.directory.candidates(c.service)
+		mayHaveGates := len(candidates) > 0 || now.Before(e.startedAt.Add(startupWait))
+		if s.inFlight > 0 || !mayHaveGates {
+			return
+		}
+		wait, ok := roundInterval, !now.After(latestRound)
+		if s.usesRefusalPolicy() && len(candidates) > 0 {
+			wait, ok = e.awaitNextRound(s, candidates, now)
+		}
+		if !ok {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(roundInterval):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -121,12 +141,19 @@
 			s.lastProblem = outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(quarantinedUntil)
 			return true
 		}
-		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= maxGateAttempts {
+		if s.call.isKeyRemoved(e.options.Configurations.Configuration()) {
+			s.lastProblem = refuseKeyRemoved()
+			return true
+		}
+		if !now.Before(s.call.deadline) || ctx.Err() != nil || s.gateAttempts >= s.attemptLimit() {
 			return true
 		}
 		for i, c := range candidates {
 			snapshots[i] = c.snapshot(now)
 		}
+		if s.defersLastAttempt(candidates, snapshots, now) {
+			return false
+		}
 		latest := now.Add(p.queueTimeout(s.call.targetLatency(), s.call.deadline.Sub(now)))
 		isExcluded := func(i int) bool {
 			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest) || snapshots[i].admitsAt.After(latest)
@@ -134,7 +161,13 @@
 		if !quarantinedUntil.IsZero() {
 			isExcluded = isNotElected(candidates, snapshots, s.call.fingerprint, round)
 		}
-		i := p.selectGate(snapshots, isExcluded, requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}, rand.Float64)
+		traits := requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}
+		i := -1
+		if s.call.modes.IsEven() && quarantinedUntil.IsZero() {
+			i = e.chooseEvenly(s.call, p, candidates, isExcluded, traits, now)
+		} else {
+			i = p.selectGate(snapshots, isExcluded, traits, rand.Float64)
+		}
 		if i < 0 {
 			return false
 		}
@@ -184,21 +217,28 @@
 		Service: c.service, CallerService: e.options.Service, Idempotent: c.route.Idempotent,
 		RouteHash: routeHash(c.route),
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
-		SoftDeadline: c.in.ReceivedAt.Add(c.targetLatency()), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
+		Customer: c.customer.Name, CustomerPriority: c.customer.Priority,
+		SoftDeadline: c.softDeadline(), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
-	to.startRequest()
+	to.startRequest(now)
 	var hedge sync.Once
 	resp, retryCharged, problem := e.sendToGate(ctx, c, to, outgoing, func(retryCharged bool) {
 		hedge.Do(func() { s.results <- result{hedgeDue: true, retryCharged: retryCharged} })
 	})
-	to.finishRequest()
+	to.finishRequest(now)
+	if problem == nil && c.modes.IsShared() {
+		e.refusals.recordServed(c, time.Since(now))
+	}
 	code := outcome.Code("answered")
 	if problem != nil {
 		code = problem.Code
 	}
 	e.options.Meter.RecordGateAttempt(to.tier.String(), code)
+	if c.modes.IsEven() && problem != nil && problem.Outcome == outcome.NotRun {
+		e.options.Meter.RecordOverruledChoice(c.service, code)
+	}
 	e.options.Logger.Info("gate attempt completed", "request", c.id, "service", c.service, "gate", to.address,
 		"tier", to.tier, "load", snap.load, "suspect", snap.suspected, "belief_age_ms", min(snap.stateAge, time.Hour).Milliseconds(),
 		"ask", s.gateAttempts, "repeat", outgoing.IsRetry, "paid", outgoing.RetryCharged, "may_fail", outgoing.CanRetry, "outcome", code,
@@ -220,12 +260,14 @@
 func (e *Entry) sendToGate(ctx context.Context, c *call, to *candidate, outgoing hopheader.Request, onHedgeDue func(retryCharged bool)) (resp *http1.Response, retryCharged bool, p *outcome.Problem) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	timing := attemptTiming{startedAt: time.Now()}
 	conn, err := to.pool.Get(ctx, maxConnectionIdle)
 	if err != nil {
 		return nil, false, e.recordUnreachable(to, err)
 	}
 	defer to.pool.Put(conn)
 	now := time.Now()
+	timing.connected(!conn.Reused, now, outgoing.QueueDeadline)
 	silenceTimer := time.AfterFunc(outgoing.QueueDeadline.Sub(now)+silenceTimeouts[to.tier], func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	var hedgeTimer *time.Timer
@@ -235,8 +277,17 @@
 			hedgeTimer = time.AfterFunc(time.Duration(hedgeDelayShare*float64(time.Until(c.deadline))), func() { onHedgeDue(false) })
 		}
 	}
-	awaitsGrant := needsGrant(c.route.Idempotent, to.tier)
+	awaitsGrant := needsGrant(c.route.Idempotent, to.tier) || c.customer.Name != "" && outgoing.QueueDeadline.Sub(now) > maxUngrantedWait
 	granted := !awaitsGrant
+	stopKeyWatch := func() {}
+	if awaitsGrant && c.customer.Name != "" {
+		wait := e.keyWatch.add(c, e.options.Configurations, cancel)
+		stopKeyWatch = func() { e.keyWatch.remove(wait) }
+		defer stopKeyWatch()
+		if c.isKeyRemoved(e.options.Configurations.Configuration()) {
+			return nil, false, refuseKeyRemoved()
+		}
+	}
 	if granted {
 		startHedgeTimer()
 	}
@@ -250,7 +301,9 @@
 			}
 		},
 	}, e.options.Headers.ResponseRequestID, func() {
+		stopKeyWatch()
 		granted = true
+		timing.grantedAt = time.Now()
 		startHedgeTimer()
 	})
 	if hedgeTimer != nil {
@@ -264,6 +317,10 @@
 		return nil, false, outcome.Failed(outcome.CodeGateConnectionLost, "%v", err)
 	}
 	to.updateState(meta.State, time.Now())
+	e.recordContact(to, true)
+	if c.modes.IsEven() {
+		e.directory.recordTiming(c, to, timing, meta.Problem, resp.Status, time.Now())
+	}
 	if meta.Problem != nil {
 		return nil, meta.RetryCharged, meta.Problem
 	}
@@ -294,10 +351,19 @@
 // still be reused.
 const maxConnectionIdle = 8 * time.Second
 
+// recordContact records whether a gate was reached. The gate of the own VM says nothing
+// about the links.
+func (e *Entry) recordContact(to *candidate, reached bool) {
+	if e.options.Contacts != nil && to.node != e.options.Node {
+		e.options.Contacts.Record(to.node, reached, time.Now())
+	}
+}
+
 // recordUnreachable marks the gate unreachable, starts to probe it and returns
 // the refusal for the request.
 func (e *Entry) recordUnreachable(to *candidate, err error) *outcome.Problem {
 	wasReachable, startsProbing := to.markUnreachable()
+	e.recordContact(to, false)
 	if wasReachable {
 		e.options.Logger.Warn("gate unreachable", "gate", to.address, "tier", to.tier, "reason", err)
 	}
@@ -319,6 +385,8 @@
 			return outcome.Failed(outcome.CodeCallerDisconnected, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
+	case errors.Is(cause, errKeyRemoved) && !granted:
+		return refuseKeyRemoved()
 	case errors.Is(cause, http1.ErrShutdown) && granted:
 		return outcome.Failed(outcome.CodeTimeout, "%v", http1.ErrShutdown)
 	case errors.Is(cause, http1.ErrShutdown):
--- a/process/entry/fakes_test.go
+++ b/process/entry/fakes_test.go
@@ -20,7 +20,11 @@
 type stubHeaders struct{}
 
 func (stubHeaders) ParseCallerHeaders(h http.Header, _ time.Time) metadata.CallerRequest {
-	return metadata.CallerRequest{ID: h.Get("Id")}
+	return metadata.CallerRequest{ID: h.Get("Id"), Key: h.Get("Key")}
+}
+func (stubHeaders) RemoveCallerIdentity(h http.Header) {
+	h.Del("Key")
+	h.Del("Customer")
 }
 func (stubHeaders) ResponseRequestID(http.Header) string { return "" }
 
@@ -28,6 +32,8 @@
 
 func (discardMeter) RecordEntryRequest(string, outcome.Code, time.Duration) {}
 func (discardMeter) RecordGateAttempt(string, outcome.Code)                 {}
+func (discardMeter) RecordEvenChoice(string, float64, time.Duration)        {}
+func (discardMeter) RecordOverruledChoice(string, outcome.Code)             {}
 
 type staticNodes []membership.Record
 
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/process/health"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 )
 
@@ -57,8 +58,13 @@
 type grant struct {
 	startedAt time.Time
 	instance  string
+	// item is what the shared queue has charged for the request; nil with the default
+	// scheduling.
+	item *schedule.Item
 	// identity is that of the target's incarnation.
-	identity  uint64
+	identity uint64
+	// number counts the requests that the incarnation was granted slots for.
+	number    uint64
 	routeHash uint32
 	isTrial   bool
 	run       *run
@@ -71,6 +77,7 @@
 	g.mu.Lock()
 	now := time.Now()
 	g.learnNotice(req.Notice, now)
+	g.applyMode()
 	if p := g.checkAdmissible(req, now); p != nil {
 		g.mu.Unlock()
 		return grant{}, p
@@ -84,6 +91,14 @@
 	case health.AdmittedAsTrial:
 		isTrial = true
 	}
+	if g.isShared() {
+		gr, w, p := g.admitShared(req, now, isTrial)
+		g.mu.Unlock()
+		if w == nil {
+			return gr, p
+		}
+		return g.awaitDecision(ctx, w)
+	}
 	work, isNext := g.queue.workAhead(req, len(g.queue.waiters), g.queueOrder(now))
 	if g.target.inFlight < g.target.announced.Slots && isNext && g.target.restrictions.limiter.canAdmit(now, g.target.inFlight) {
 		gr := g.takeSlot(req, now, isTrial)
@@ -103,7 +118,7 @@
 		return grant{}, refuseFull(wait, now)
 	}
 	w := g.queue.push(req)
-	g.wakeForLimit(now)
+	g.wakeForLimits(now)
 	g.mu.Unlock()
 	return g.awaitDecision(ctx, w)
 }
@@ -118,12 +133,15 @@
 	case d := <-w.decisions:
 		return d.grant, d.problem
 	case <-timer.C:
-		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time").WithRetryAt(time.Now().Add(g.meanDuration()))
+		p = outcome.Refused(outcome.CodeTargetFull, "no slot became free in time")
 	case <-ctx.Done():
 		p = outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
 	}
 	g.mu.Lock()
-	removed := g.queue.remove(w)
+	removed := g.removeWaiter(w)
+	if removed && p.Code == outcome.CodeTargetFull {
+		p = p.WithRetryAt(g.recordExpiry(w, time.Now()))
+	}
 	g.mu.Unlock()
 	if removed {
 		return grant{}, p
@@ -132,13 +150,6 @@
 	return d.grant, d.problem
 }
 
-// meanDuration returns the mean time that requests hold a slot.
-func (g *Gate) meanDuration() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.target.durations.all
-}
-
 // queueOrder returns the order of the queue at the given time. The caller holds
 // mu.
 func (g *Gate) queueOrder(now time.Time) queueOrder {
@@ -150,6 +161,7 @@
 func (g *Gate) takeSlot(req hopheader.Request, now time.Time, isTrial bool) grant {
 	g.target.inFlight++
 	g.target.restrictions.limiter.take(now)
+	number := g.target.shedding.Start(now)
 	switch {
 	case req.RetryCharged:
 	case req.IsRetry:
@@ -157,7 +169,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
+	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, number: number, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
@@ -178,6 +190,11 @@
 // grants free slots to the others. The caller holds mu.
 func (g *Gate) dispatchWaiters() {
 	now := time.Now()
+	g.applyMode()
+	if g.isShared() {
+		g.dispatchShared(now)
+		return
+	}
 	g.queue.refuseIf(func(req hopheader.Request) *outcome.Problem { return g.checkAdmissible(req, now) })
 	if g.target.breaker.IsSuspected(now) {
 		g.queue.refuseIf(func(hopheader.Request) *outcome.Problem { return g.refuseSuspected() })
@@ -190,14 +207,14 @@
 		w.decisions <- decision{grant: g.takeSlot(w.request, now, false)}
 	}
 	g.queue.refuseHopeless(g.queueOrder(now), g.target.announced.Slots)
-	g.wakeForLimit(now)
+	g.wakeForLimits(now)
 }
 
-// wakeForLimit arranges that waiters are dispatched when the target's limit admits the
+// wakeForLimits arranges that waiters are dispatched when the target's limits admit the
 // next one. The caller holds mu.
-func (g *Gate) wakeForLimit(now time.Time) {
-	nextAt := g.target.restrictions.limiter.nextAt(now, 0)
-	if nextAt.IsZero() || len(g.queue.waiters) == 0 {
+func (g *Gate) wakeForLimits(now time.Time) {
+	nextAt := latest(g.target.restrictions.limiter.nextAt(now, 0), g.nextStartAt(now))
+	if nextAt.IsZero() || g.queueLength() == 0 {
 		return
 	}
 	if g.limitTimer != nil {
--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -41,6 +41,14 @@
 // that, watchForStall has the entry told in an interim response. A gate also charges
 // retries of failed requests to its share of the fleet-wide retry limit.
 //
+// # Overload
+//
+// If the configuration's scheduling is shared, package schedule decides when a target that
+// refuses everything gets its next request, which of the queued requests goes next, and when
+// refused callers are to return (scheduling.go, shared.go); a request whose announced body
+// does not fit into memory is refused before the body is read (bodies.go). Otherwise the
+// order of queue.go applies.
+//
 // # Callers
 //
 // Package node creates the gate with New, serves its listener with Serve, reads
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 )
 
 // waiter is a queued request.
 type waiter struct {
 	request hopheader.Request
+	// queued is the waiter's place in the shared queue; nil in the default one.
+	queued *schedule.Queued[*waiter]
 	// decisions receives exactly one decision, unless the waiter is removed from
 	// the queue first.
 	decisions chan decision
@@ -26,8 +29,12 @@
 	waiters []*waiter
 }
 
+func newWaiter(req hopheader.Request) *waiter {
+	return &waiter{request: req, decisions: make(chan decision, 1)}
+}
+
 func (q *queue) push(req hopheader.Request) *waiter {
-	w := &waiter{request: req, decisions: make(chan decision, 1)}
+	w := newWaiter(req)
 	q.waiters = append(q.waiters, w)
 	return w
 }
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/health"
+	"github.com/cuminwheel/cuminwheel/process/schedule"
 )
 
 // targetState holds what the gate knows about its target. Gate.mu guards it.
@@ -29,6 +30,8 @@
 	durations        durations
 	breaker          health.CircuitBreaker
 	restrictions     restrictions
+	// shedding is recorded with every scheduling, and applies with the shared one.
+	shedding schedule.Shedding
 	// sent counts the requests that the incarnation was sent.
 	sent int
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -11,13 +11,16 @@
 
 	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/connection/peerrpc"
+	"github.com/cuminwheel/cuminwheel/process/contact"
 	"github.com/cuminwheel/cuminwheel/process/entry"
 	"github.com/cuminwheel/cuminwheel/process/follower"
 	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
+	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -70,6 +73,10 @@
 	gate          *gate.Gate
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
+	// contacts knows whether the node is isolated.
+	contacts contact.Tracker
+	// quotas grants tokens of the customers whose home the node is.
+	quotas *quota.Home
 	// bodies is the budget for all bodies that the entry and the gate hold.
 	bodies *http1.BodyBudget
 
@@ -118,19 +125,23 @@
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
-	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster"))
+	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster")).WithContacts(&n.contacts)
+	n.quotas = quota.NewHome(n.view.Self().ControlAddress, n.view, pool)
 
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline,
+		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
-		Service: s.Service, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
+		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
 		Headers: n.platform.Headers, Logger: n.logger.Named("entry"), Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, ShutdownDeadline: n.shutdownDeadline,
+		KnownVersion: n.gossiper.KnownVersion,
+		Quotas:       quota.NewClient(n.quotas, n.meter, n.logger.Named("quota")),
 	})
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
@@ -140,6 +151,7 @@
 		follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration")).Run(ctx)
 	})
 	n.startTask(func() { n.gossiper.Run(ctx) })
+	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
 	reverted := n.platform.Registry.Reverted()
 	n.startTask(func() { n.restoreRecords(ctx, reverted) })
@@ -171,7 +183,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Control)
 	}
-	closeControl, err := peerrpc.Serve(control, map[string]any{membership.ReceiverName: membership.NewReceiver(n.gossiper)})
+	closeControl, err := peerrpc.Serve(control, map[string]any{
+		membership.ReceiverName: membership.NewReceiver(n.gossiper), quota.ReceiverName: quota.NewReceiver(n.quotas),
+	})
 	if err != nil {
 		control.Close()
 		return err
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -33,6 +33,11 @@
 	CodeNoRoute      Code = "no_route"
 	CodeBadRequest   Code = "bad_request"
 	CodeBodyTooLarge Code = "body_too_large"
+	// CodeUnauthorized means that the route needs a key and that the caller's key is
+	// missing, unknown or removed.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeOverQuota means that the customer's quota is used up.
+	CodeOverQuota Code = "over_quota"
 	// CodeNotReady means that the node has no configuration yet.
 	CodeNotReady Code = "not_ready"
 	// CodeNoTarget means that no target of the service is available.
@@ -80,7 +85,8 @@
 	// CodeResponseUnsigned means that a successful response lacks the target's
 	// proof of origin.
 	CodeResponseUnsigned Code = "answer_unsigned"
-	// CodeNoMemory means that the node has no memory left for the response.
+	// CodeNoMemory means that the node has no memory left for the response. As the code of
+	// a refusal, it means that there is none for the request's body.
 	CodeNoMemory Code = "no_memory"
 	// CodeGateConnectionLost means that the connection to the gate failed, or that
 	// the gate's response was invalid, when the request may have been run.
@@ -102,6 +108,9 @@
 	// RetryAt is the earliest time for a retry; zero means that none is
 	// suggested.
 	RetryAt time.Time
+	// IsPromise means that RetryAt was chosen for the time that the caller has left, so
+	// that Retry-After is not raised to the usual minimum.
+	IsPromise bool
 }
 
 func (p *Problem) Error() string {
@@ -123,14 +132,18 @@
 	return &Problem{Outcome: Unknown, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
 }
 
-// statusOf returns the status that callers get. 503 guarantees that the request
+// statusOf returns the status that callers get. 503 and 429 guarantee that the request
 // was not run; 502 and 504 guarantee nothing.
 func statusOf(code Code) int {
 	switch code {
 	case CodeNoRoute:
 		return http.StatusNotFound
+	case CodeOverQuota:
+		return http.StatusTooManyRequests
 	case CodeBadRequest:
 		return http.StatusBadRequest
+	case CodeUnauthorized:
+		return http.StatusUnauthorized
 	case CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case CodeTimeout:
@@ -147,6 +160,13 @@
 	return &p
 }
 
+// WithPromise returns a copy of the problem with a retry time that was chosen for the time
+// that the caller has left.
+func (p Problem) WithPromise(t time.Time) *Problem {
+	p.RetryAt, p.IsPromise = t, true
+	return &p
+}
+
 // document is a problem document as of RFC 9457.
 type document struct {
 	Type      string  `json:"type"`
@@ -158,8 +178,12 @@
 	RequestID string  `json:"request_id"`
 }
 
-// minRetryAfter keeps callers from retrying immediately.
-const minRetryAfter = 50 * time.Millisecond
+const (
+	// minRetryAfter keeps callers from retrying immediately.
+	minRetryAfter = 50 * time.Millisecond
+	// minPromise is the shortest Retry-After that the header can state.
+	minPromise = time.Millisecond
+)
 
 // ToResponse returns the problem as the response to a request. Retry-After is
 // in seconds with a decimal fraction.
@@ -171,6 +195,9 @@
 	}
 	if !p.RetryAt.IsZero() {
 		wait := max(minRetryAfter, p.RetryAt.Sub(now))
+		if p.IsPromise {
+			wait = max(minPromise, p.RetryAt.Sub(now))
+		}
 		h["Retry-After"] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
 	}
 	body, err := json.Marshal(document{
