entry: separate decisions from their effects

An explanation of a decision must use the code of the path of a request and change no state. The choice of a gate, the refusal of quarantined requests and the situation of the refusal policy become functions without effects; quotas, refusals and the quarantine get reads that expire and count nothing. Requests are decided as before.

The fakes of Quotas and Quarantine in tests get the new method.

--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -13,8 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cuminwheel/cuminwheel/connection/hopheader"
 	"github.com/cuminwheel/cuminwheel/connection/http1"
-	"github.com/cuminwheel/cuminwheel/process/quarantine"
-	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
@@ -137,8 +135,8 @@
 		}
 		quarantinedUntil := e.options.Quarantine.QuarantinedUntil(s.call.fingerprint, now)
 		round, isTrialDue := e.options.Quarantine.TrialDue(s.call.fingerprint, now)
-		if !quarantinedUntil.IsZero() && (!isTrialDue || s.gateAttempts > 0) {
-			s.lastProblem = outcome.Refused(outcome.CodeQuarantined, "the request has crashed several targets").WithRetryAt(quarantinedUntil)
+		if refusal := s.refuseQuarantined(quarantinedUntil, isTrialDue); refusal != nil {
+			s.lastProblem = refusal
 			return true
 		}
 		if s.call.isKeyRemoved(e.options.Configurations.Configuration()) {
@@ -154,14 +152,11 @@
 		if s.defersLastAttempt(candidates, snapshots, now) {
 			return false
 		}
-		latest := now.Add(p.queueTimeout(s.call.targetLatency(), s.call.deadline.Sub(now)))
-		isExcluded := func(i int) bool {
-			return attempted[i] || s.excluded[candidates[i]] || s.capacityAt[candidates[i]].After(latest) || snapshots[i].admitsAt.After(latest)
-		}
+		isExcluded := s.exclusions(p, candidates, snapshots, attempted, now)
 		if !quarantinedUntil.IsZero() {
 			isExcluded = isNotElected(candidates, snapshots, s.call.fingerprint, round)
 		}
-		traits := requestTraits{canRetry: s.canRetry(), nonIdempotent: !s.call.route.Idempotent}
+		traits := s.traits()
 		i := -1
 		if s.call.modes.IsEven() && quarantinedUntil.IsZero() {
 			i = e.chooseEvenly(s.call, p, candidates, isExcluded, traits, now)
@@ -185,23 +180,6 @@
 	return false
 }
 
-// isNotElected reports, by index, the gates that may not run the trial of a quarantined
-// request. Of the elected gates, it leaves the first that is reachable.
-func isNotElected(candidates []*candidate, snapshots []snapshot, request fingerprint.Fingerprint, round uint64) func(int) bool {
-	addresses := make([]string, len(candidates))
-	for i, c := range candidates {
-		addresses[i] = c.address
-	}
-	elected := -1
-	for _, i := range quarantine.ElectGates(addresses, request, round) {
-		if !snapshots[i].unreachable {
-			elected = i
-			break
-		}
-	}
-	return func(i int) bool { return i != elected }
-}
-
 // attempt sends the request to one gate and delivers the result on s.results. s
 // is a copy, taken when the attempt began.
 func (e *Entry) attempt(ctx context.Context, s dispatchState, to *candidate, p selectionPass, snap snapshot) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -64,6 +64,8 @@
 type Quarantine interface {
 	// QuarantinedUntil returns until when a request must not be run, or zero.
 	QuarantinedUntil(request fingerprint.Fingerprint, now time.Time) time.Time
+	// Peek is QuarantinedUntil without removing expired entries.
+	Peek(request fingerprint.Fingerprint, now time.Time) time.Time
 	// TrialDue returns the round of the trial that a quarantined request may run now.
 	TrialDue(request fingerprint.Fingerprint, now time.Time) (round uint64, isDue bool)
 }
@@ -221,7 +223,15 @@
 		return c, problem
 	}
 	c.service = c.route.PickService(e.nextSplitPoint(c.route))
-	latest := in.ReceivedAt.Add(c.route.Timeout)
+	e.limitDeadline(c)
+	c.header = http1.CopyEndToEnd(in.Header)
+	hopheader.Strip(c.header)
+	return c, nil
+}
+
+// limitDeadline applies the route's timeout and the shutdown deadline of the node.
+func (e *Entry) limitDeadline(c *call) {
+	latest := c.in.ReceivedAt.Add(c.route.Timeout)
 	if c.deadline.IsZero() || latest.Before(c.deadline) {
 		c.deadline = latest
 	}
@@ -230,9 +240,6 @@
 	if shutdownAt := e.options.ShutdownDeadline(); !shutdownAt.IsZero() && shutdownAt.Add(-relayMargin).Before(c.deadline) {
 		c.deadline = shutdownAt.Add(-relayMargin)
 	}
-	c.header = http1.CopyEndToEnd(in.Header)
-	hopheader.Strip(c.header)
-	return c, nil
 }
 
 // resolve sets the route and the customer of the call by a configuration.
--- a/process/entry/even.go
+++ b/process/entry/even.go
@@ -180,6 +180,16 @@
 // the gates of other regions too, so that work moves there before the own region is
 // full. Large bodies are left out of that, because regions share a narrow link.
 func (e *Entry) chooseEvenly(c *call, p selectionPass, candidates []*candidate, isExcluded func(int) bool, r requestTraits, now time.Time) int {
+	views, request := e.evenChoice(c, p, candidates, isExcluded, r, now)
+	i := balance.Default.Choose(views, request, rand.Float64)
+	if i >= 0 {
+		e.options.Meter.RecordEvenChoice(c.service, balance.Spread(views), min(views[i].Age, maxRecordedAge))
+	}
+	return i
+}
+
+// evenChoice returns the arguments of the selector for one choice.
+func (e *Entry) evenChoice(c *call, p selectionPass, candidates []*candidate, isExcluded func(int) bool, r requestTraits, now time.Time) ([]balance.View, balance.Request) {
 	route := routeHash(c.route)
 	views := make([]balance.View, len(candidates))
 	for i, to := range candidates {
@@ -191,12 +201,8 @@
 	if p.queueTimeout(c.targetLatency(), c.deadline.Sub(now)) == 0 && !isBulk {
 		farthest = tierRemote
 	}
-	i := balance.Default.Choose(views, balance.Request{
+	return views, balance.Request{
 		CanRetry: r.canRetry, NonIdempotent: r.nonIdempotent, Bulk: isBulk, Work: e.directory.works.mean(workKey{c.service, route}),
 		Remaining: c.deadline.Sub(now), Nearest: balance.Distance(p.nearest), Farthest: balance.Distance(farthest), IncludeUnhealthy: p.includeUnhealthy,
-	}, rand.Float64)
-	if i >= 0 {
-		e.options.Meter.RecordEvenChoice(c.service, balance.Spread(views), min(views[i].Age, maxRecordedAge))
 	}
-	return i
 }
--- a/process/entry/key_watch_test.go
+++ b/process/entry/key_watch_test.go
@@ -65,6 +65,10 @@
 	return 0, false
 }
 
+func (q quarantineOf) Peek(request fingerprint.Fingerprint, now time.Time) time.Time {
+	return q.QuarantinedUntil(request, now)
+}
+
 func (q quarantineOf) QuarantinedUntil(f fingerprint.Fingerprint, now time.Time) time.Time {
 	if fingerprint.Fingerprint(q) == f {
 		return now.Add(time.Hour)
--- a/process/entry/quotas.go
+++ b/process/entry/quotas.go
@@ -13,6 +13,8 @@
 type Quotas interface {
 	// Take takes a token for one request of a customer with a quota.
 	Take(ctx context.Context, c customer.Customer) quota.Decision
+	// Peek describes the tokens that the node holds for a customer and takes none.
+	Peek(c customer.Customer) quota.Decision
 	// Refund returns the token of a request that no target got.
 	Refund(name string, d quota.Decision)
 }
--- a/process/entry/quotas_test.go
+++ b/process/entry/quotas_test.go
@@ -23,7 +23,8 @@
 	q.taken++
 	return q.decision
 }
-func (q *countingQuotas) Refund(string, quota.Decision) { q.refunds++ }
+func (q *countingQuotas) Peek(customer.Customer) quota.Decision { return q.decision }
+func (q *countingQuotas) Refund(string, quota.Decision)         { q.refunds++ }
 
 // Guards against requests that take a token for each attempt, that keep one although no
 // target got them, or that reach a gate without one; and against costs for requests
--- a/process/entry/refusals.go
+++ b/process/entry/refusals.go
@@ -87,6 +87,23 @@
 	return r.memory.CallersRetry(keyOf(c), assumptionFor(c), now), refusal.ExpectedWork(r.memory.Work(keyOf(c), now), c.targetLatency())
 }
 
+// peek returns the same as recall and changes nothing.
+func (r *refusals) peek(f fingerprint.Fingerprint, now time.Time) (refusal.Refusal, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.memory.Peek(f, now)
+}
+
+// peekOutlook returns what is known of the request's route, with the expected work, and
+// changes nothing.
+func (r *refusals) peekOutlook(c *call, now time.Time) refusal.Outlook {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.memory.PeekOutlook(keyOf(c), assumptionFor(c), now)
+	o.Work = refusal.ExpectedWork(o.Work, c.targetLatency())
+	return o
+}
+
 // record remembers a refusal and returns its retry time.
 func (r *refusals) record(c *call, code outcome.Code, earliestCapacity, now time.Time) time.Time {
 	r.mu.Lock()
--- a/process/entry/shared.go
+++ b/process/entry/shared.go
@@ -31,18 +31,27 @@
 	if !ok {
 		return nil
 	}
-	isEarly := now.Before(earlier.RetryAt.Add(-promiseTolerance))
+	isEarly := isEarlyReturn(earlier, now)
 	e.options.Meter.RecordReturn(e.refusals.label(c.route.Name), isEarly)
 	if isEarly {
 		at := e.refusals.recordAgain(c, earlier, now)
 		s.shared.reason = refusal.ReasonEarlyReturn
 		e.recordRefused(s, earlier.Code, at, now)
-		return outcome.Refused(earlier.Code, "the request returned before its retry time").WithPromise(at)
+		return refuseEarlyReturn(earlier, at)
 	}
 	c.returnSoftDeadline = refusal.SoftDeadlineOfReturn(now, earlier.SoftDeadline, work, c.targetLatency())
 	return nil
 }
 
+// isEarlyReturn reports whether a request that was refused before returns before its retry time.
+func isEarlyReturn(earlier refusal.Refusal, now time.Time) bool {
+	return now.Before(earlier.RetryAt.Add(-promiseTolerance))
+}
+
+func refuseEarlyReturn(earlier refusal.Refusal, retryAt time.Time) *outcome.Problem {
+	return outcome.Refused(earlier.Code, "the request returned before its retry time").WithPromise(retryAt)
+}
+
 // usesRefusalPolicy reports whether the refusal policy decides on further rounds. A request
 // that a target may have run, or that has a target's error response, is not refused, so that
 // the default rule applies to it.
@@ -129,12 +138,7 @@
 	c := s.call
 	callersRetry, work := e.refusals.expectations(c, now)
 	s.shared.mayHold = !callersRetry
-	earliest, all := s.namedCapacity(candidates, now)
-	v := refusal.Decide(refusal.Situation{
-		Now: now, ReceivedAt: c.in.ReceivedAt, Deadline: c.deadline, TargetLatency: c.targetLatency(), Work: work, CallersRetry: callersRetry,
-		EarliestCapacity: earliest, AllNamed: all, HeldRounds: s.shared.heldRounds,
-		CanHold: s.shared.isHeld || e.refusals.held.Load() < maxHeld && len(c.body) <= maxHeldBody, Random: rand.Float64(),
-	})
+	v := refusal.Decide(e.situation(s, candidates, refusal.Outlook{CallersRetry: callersRetry, Work: work}, int64(len(c.body)), now))
 	if v.Reason != "" {
 		s.shared.reason = v.Reason
 		return 0, false
@@ -150,6 +154,18 @@
 	return v.NextRoundAt.Sub(now), true
 }
 
+// situation returns what the refusal policy decides on after a round without a grant. The
+// outlook's work is the expected one.
+func (e *Entry) situation(s *dispatchState, candidates []*candidate, o refusal.Outlook, bodyBytes int64, now time.Time) refusal.Situation {
+	c := s.call
+	earliest, all := s.namedCapacity(candidates, now)
+	return refusal.Situation{
+		Now: now, ReceivedAt: c.in.ReceivedAt, Deadline: c.deadline, TargetLatency: c.targetLatency(), Work: o.Work, CallersRetry: o.CallersRetry,
+		EarliestCapacity: earliest, AllNamed: all, HeldRounds: s.shared.heldRounds,
+		CanHold: s.shared.isHeld || e.refusals.held.Load() < maxHeld && bodyBytes <= maxHeldBody, Random: rand.Float64(),
+	}
+}
+
 // endHold ends the hold of a request whose outcome is certain, and forgets its earlier
 // refusals if it got a response.
 func (e *Entry) endHold(s *dispatchState) {
--- a/process/quarantine/table.go
+++ b/process/quarantine/table.go
@@ -108,8 +108,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	return t.quarantinedUntil(r, now)
+}
+
+// Peek returns the same as QuarantinedUntil and changes nothing.
+func (t *Table) Peek(r fingerprint.Fingerprint, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quarantinedUntil(r, now)
+}
+
+// quarantinedUntil implements QuarantinedUntil. The caller holds mu.
+func (t *Table) quarantinedUntil(r fingerprint.Fingerprint, now time.Time) time.Time {
 	e, ok := t.entries[r]
-	if !ok || !e.isQuarantined() {
+	if !ok || !now.Before(e.expiresAt) || !e.isQuarantined() {
 		return time.Time{}
 	}
 	trialAt, ok := e.nextTrialAt()
--- a/process/quota/client.go
+++ b/process/quota/client.go
@@ -107,6 +107,25 @@
 	return c.await(ctx, s, w)
 }
 
+// Peek describes the node's stock of a customer's tokens and changes nothing. Allowed means
+// that Take would not have to wait for the home; RetryAt is the time that the home named
+// last, if that is in the future.
+func (c *Client) Peek(who customer.Customer) Decision {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.stocks[who.Name]
+	if !ok {
+		return Decision{Allowed: !who.HasQuota(), Quota: who.RequestsPerSecond, Age: -1}
+	}
+	d := s.decision(now)
+	d.Quota, d.Allowed = who.RequestsPerSecond, d.Stock > 0 || !who.HasQuota()
+	if s.pausedUntil.After(now) {
+		d.RetryAt = s.pausedUntil
+	}
+	return d
+}
+
 // await waits for the result of a request without a token.
 func (c *Client) await(ctx context.Context, s *stock, w *waiter) Decision {
 	timer := time.NewTimer(time.Until(w.until))
--- a/process/quota/stock.go
+++ b/process/quota/stock.go
@@ -76,9 +76,16 @@
 // count returns the number of tokens.
 func (s *stock) count(now time.Time) int {
 	s.dropExpired(now)
+	return s.peekCount(now)
+}
+
+// peekCount returns the number of tokens and leaves expired ones in place.
+func (s *stock) peekCount(now time.Time) int {
 	total := 0
 	for _, l := range s.lots {
-		total += l.count
+		if l.expiresAt.After(now) {
+			total += l.count
+		}
 	}
 	return total
 }
@@ -99,7 +106,7 @@
 
 // decision returns a refusal that describes the stock.
 func (s *stock) decision(now time.Time) Decision {
-	d := Decision{Quota: s.rate, Stock: s.count(now), Age: -1}
+	d := Decision{Quota: s.rate, Stock: s.peekCount(now), Age: -1}
 	if !s.repliedAt.IsZero() {
 		d.Age = now.Sub(s.repliedAt)
 	}
--- a/process/refusal/memory.go
+++ b/process/refusal/memory.go
@@ -180,6 +180,10 @@
 func (m *Memory) CallersRetry(key RouteKey, assumed Assumption, now time.Time) bool {
 	m.expire(now)
 	rt := m.route(key, now)
+	return rt.callersRetry(assumed, now)
+}
+
+func (rt *route) callersRetry(assumed Assumption, now time.Time) bool {
 	if now.Sub(rt.judgedAt) >= evidenceTTL {
 		rt.returned, rt.unreturned = 0, 0
 	}
@@ -203,7 +207,10 @@
 // as the requests of the route that this entry has had served lately: its share of what
 // the fleet serves.
 func (m *Memory) Turn(key RouteKey, now time.Time) time.Time {
-	rt := m.route(key, now)
+	return m.route(key, now).turn(now)
+}
+
+func (rt *route) turn(now time.Time) time.Time {
 	gap := maxGap
 	if served := rt.servedUntil(now); served > 0 {
 		gap = min(maxGap, time.Duration(float64(rateWindow)/served))
