node: explain a request at /explain of the metrics address

It took several logs to tell why a request went where it did. The node now tells route, customer, tokens, refusal, first choice of each pass and the candidates with their costs, and sends nothing. The body is JSON, so that the key is in no URL; errors contain nothing of the body.

--- a/process/node/http.go
+++ b/process/node/http.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cuminwheel/cuminwheel/process/entry"
 	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
@@ -79,9 +81,33 @@
 			Quotas:    n.quotas.Nearest(nearestQuotas),
 		})
 	})
+	e.POST("/explain", n.explain)
 	return e
 }
 
+// maxInquiryBytes bounds the body of /explain.
+const maxInquiryBytes = 64 << 10
+
+// explain tells what the entry would do with a request. Errors never contain parts of the
+// body, since it may have a key.
+func (n *Node) explain(c echo.Context) error {
+	fail := func(reason string) error { return c.JSON(http.StatusBadRequest, map[string]string{"error": reason}) }
+	var q entry.Inquiry
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxInquiryBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&q); err != nil {
+		var wrongType *json.UnmarshalTypeError
+		if errors.As(err, &wrongType) && wrongType.Field != "" {
+			return fail(fmt.Sprintf("%s: set a value of type %s", wrongType.Field, wrongType.Type))
+		}
+		return fail("body: send a JSON object with host, path, method and optionally key, deadline_ms and body_bytes")
+	}
+	if err := q.Validate(); err != nil {
+		return fail(err.Error())
+	}
+	return c.JSON(http.StatusOK, n.entry.Explain(q))
+}
+
 // writeMetrics writes the metrics of the node and the process.
 func (n *Node) writeMetrics(c echo.Context) error {
 	c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -71,6 +71,7 @@
 	view          *membership.View
 	gossiper      *membership.Gossiper
 	gate          *gate.Gate
+	entry         *entry.Entry
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
 	// contacts knows whether the node is isolated.
@@ -143,6 +144,7 @@
 		KnownVersion: n.gossiper.KnownVersion,
 		Quotas:       quota.NewClient(n.quotas, n.meter, n.logger.Named("quota")),
 	})
+	n.entry = e
 	n.cleanups = append(n.cleanups, closeEntry)
 	if err := n.listen(e); err != nil {
 		return err
