--- a/cmd/cuminwheel/main.go
+++ b/cmd/cuminwheel/main.go
@@ -75,6 +75,7 @@
 			publishCommand(),
 			checkCommand(),
 			statusCommand(),
+			explainCommand(),
 			standinCommand(),
 			experimentCommand(),
 			soakCommand(),
