--- a/process/quota/client_test.go
+++ b/process/quota/client_test.go
@@ -142,3 +142,30 @@
 		})
 	}
 }
+
+// Guards against a read that takes or expires tokens, calls the home or creates a stock.
+func TestPeekChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 1)
+		time.Sleep(time.Minute)
+		client := f.nodes[0].client
+		is.Equal(client.Peek(limited), Decision{Quota: 10, Age: -1})
+		is.Equal(len(client.stocks), 0)
+		is.True(client.Take(t.Context(), limited).Allowed)
+		synctest.Wait()
+		s := client.stocks[limited.Name]
+		s.add(2, time.Now().Add(tokenTTL))
+		lots, calls := slices.Clone(s.lots), f.calls
+		want := s.count(time.Now())
+		for range 10 {
+			d := client.Peek(limited)
+			is.Equal(d.Stock, want)
+			is.True(d.Allowed)
+		}
+		time.Sleep(2 * tokenTTL)
+		is.Equal(client.Peek(limited).Stock, 0)
+		is.Equal(s.lots, lots) // expired tokens stay in place
+		is.Equal(f.calls, calls)
+	})
+}
