entry: explain reads a changed directory without rebuilding it

Explain rebuilt the directory if nodes had changed since the last request, which opens and closes connection pools. It now reads copies. The path is taken with its escapes, as the listener passes it to the routes.

go test -race ./process/entry ./process/quarantine: ok (43.8 s, 11.0 s).

--- a/process/entry/candidate.go
+++ b/process/entry/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -107,6 +108,17 @@
 	return s
 }
 
+// detachedCopy returns a copy for reading, without connections and notices.
+func (c *candidate) detachedCopy() *candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &candidate{
+		node: c.node, address: c.address, tier: c.tier, rank: c.rank, dataCentre: c.dataCentre,
+		state: c.state, stateReceivedAt: c.stateReceivedAt, sent: slices.Clone(c.sent), unreachable: c.unreachable,
+		measured: measurements{roundTrip: c.measured.roundTrip, paces: maps.Clone(c.measured.paces)},
+	}
+}
+
 func (c *candidate) setRank(rank int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/cuminwheel/cuminwheel/connection/http1"
@@ -76,14 +77,51 @@
 	}
 }
 
-func (d *directory) newCandidate(r membership.Record) *candidate {
-	t := tierRemote
+// peek returns the same as candidates and changes nothing. If the nodes have changed since
+// the last request, it returns copies of the candidates and, for new nodes, candidates
+// without connections.
+func (d *directory) peek(service string) []*candidate {
+	version := d.nodes.Version()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byService != nil && d.version == version {
+		return d.byService[service]
+	}
+	var list []*candidate
+	ranks := map[string]int{}
+	numbers := maps.Clone(d.dataCentres)
+	for _, r := range d.nodes.Nodes() {
+		number, ok := numbers[r.DataCentre]
+		if !ok {
+			number = uint8(len(numbers))
+			numbers[r.DataCentre] = number
+		}
+		if r.Service != service {
+			continue
+		}
+		c := &candidate{node: r.ControlAddress, address: r.GateAddress, tier: d.tierOf(r), dataCentre: number}
+		if known, ok := d.byRecord[r]; ok {
+			c = known.detachedCopy()
+		}
+		c.setRank(ranks[r.DataCentre])
+		ranks[r.DataCentre]++
+		list = append(list, c)
+	}
+	return list
+}
+
+func (d *directory) tierOf(r membership.Record) tier {
 	switch {
 	case r.DataCentre == d.dataCentre:
-		t = tierDataCentre
+		return tierDataCentre
 	case r.Region == d.region:
-		t = tierRegion
+		return tierRegion
 	}
+	return tierRemote
+}
+
+func (d *directory) newCandidate(r membership.Record) *candidate {
+	t := d.tierOf(r)
 	number, ok := d.dataCentres[r.DataCentre]
 	if !ok {
 		number = uint8(len(d.dataCentres))
--- a/process/entry/explain.go
+++ b/process/entry/explain.go
@@ -72,9 +72,10 @@
 	return x
 }
 
+// pathOf returns the path by which the entry finds the route, as the listener does.
 func pathOf(uri string) string {
 	if u, err := url.ParseRequestURI(uri); err == nil {
-		return u.Path
+		return u.EscapedPath()
 	}
 	return uri
 }
@@ -134,7 +135,7 @@
 // explainService tells which gates of the call's service would be tried.
 func (e *Entry) explainService(c *call, o refusal.Outlook, bodyBytes int64, now time.Time) ExplainedService {
 	s := &dispatchState{call: c, excluded: map[*candidate]bool{}, capacityAt: map[*candidate]time.Time{}}
-	candidates := e.directory.candidates(c.service)
+	candidates := e.directory.peek(c.service)
 	x := ExplainedService{Service: c.service}
 	if len(candidates) == 0 {
 		p := s.finalProblem()
--- a/process/entry/explain_test.go
+++ b/process/entry/explain_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/connection/http1"
+	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quota"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
@@ -135,6 +136,34 @@
 	}
 }
 
+// Guards against an explanation that rebuilds the directory, which opens and closes
+// connection pools, or that shows the nodes from before a change.
+func TestExplainWithChangedNodes(t *testing.T) {
+	for _, modes := range explainedModes {
+		t.Run(fmt.Sprintf("%+v", modes), func(t *testing.T) {
+			is := is.New(t)
+			f, _ := explainedFleet(t, modes)
+			nodes := &changingNodes{version: 1, nodes: f.entry.directory.nodes.Nodes()}
+			f.entry.directory.nodes = nodes
+			is.Equal(f.call(t, "/read/a").Status, http.StatusOK)
+			other := membership.Record{ControlAddress: "127.0.0.1:1", GateAddress: "127.0.0.1:1", Service: "s", DataCentre: "far", Region: "other"}
+			nodes.nodes, nodes.version = append([]membership.Record{other}, nodes.nodes[:1]...), 2
+			before := stateOf(f.entry)
+			peeked := f.entry.Explain(Inquiry{Host: "h", Path: "/read/a", Method: http.MethodGet}).Services[0].Candidates
+			is.Equal(stateOf(f.entry), before)
+			f.entry.directory.candidates("s")
+			rebuilt := f.entry.Explain(Inquiry{Host: "h", Path: "/read/a", Method: http.MethodGet}).Services[0].Candidates
+			is.Equal(len(peeked), 2)
+			for i := range peeked {
+				is.Equal(peeked[i].Gate, rebuilt[i].Gate)
+				is.Equal(peeked[i].Tier, rebuilt[i].Tier)
+				is.Equal(peeked[i].Passes, rebuilt[i].Passes)
+				is.Equal(peeked[i].Slots, rebuilt[i].Slots)
+			}
+		})
+	}
+}
+
 // Guards against an explanation that differs from what a request gets, or shows the key.
 func TestExplain(t *testing.T) {
 	tests := []struct {
--- a/process/quarantine/table_test.go
+++ b/process/quarantine/table_test.go
@@ -214,3 +214,17 @@
 	crashed.Merge(serving.Records(now), now)
 	is.True(crashed.QuarantinedUntil(bad, now).IsZero())
 }
+
+// Guards against a read that removes expired entries or differs from QuarantinedUntil.
+func TestPeekChangesNothing(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second, Retention - time.Second, Retention, 2 * Retention} {
+		is := is.New(t)
+		table := newTable()
+		for incarnation := range uint64(3) {
+			table.RecordCrash(incarnation+1, []fingerprint.Fingerprint{bad}, start)
+		}
+		got := table.Peek(bad, start.Add(after))
+		is.Equal(len(table.entries), 1)
+		is.Equal(got, table.QuarantinedUntil(bad, start.Add(after)))
+	}
+}
