balance: other regions at once only for work that is worth the trip

Cause: the first pass of even balancing sent requests to another region as soon as the gates of the own one were excluded.

--- a/process/balance/cost.go
+++ b/process/balance/cost.go
@@ -37,6 +37,11 @@
 	// be retried may test its target. The gate admits a trial request every 200 ms to
 	// 1.6 s, and at once after a success.
 	minTrialAge = 400 * time.Millisecond
+	// maxTripsPerWork is how many round trips to a gate of another region the work of a request
+	// must be worth, for it to go there before it has waited in its own region. Traffic over a
+	// longer way costs more, and the round-trip time is the only measure of that which nodes
+	// have.
+	maxTripsPerWork = 16
 	// maxDataCentres bounds the data centres whose means are kept apart.
 	maxDataCentres = 16
 )
@@ -250,6 +255,9 @@
 	if v.Suspected || 2*m.travel(v)+r.work() > r.Remaining {
 		return false
 	}
+	if r.Nearest < Remote && !r.IncludeUnhealthy && maxTripsPerWork*m.travel(v) > r.work() {
+		return false
+	}
 	load, _ := m.expectedLoad(v)
 	return load < 1
 }
