soak: a quarter of the seeds has customers

The soak knew no customers, so that no run under faults checked the keys and customers that targets get. Configurations of one seed in four now have three customers, one of them asked for five times its quota, and callers send their keys.

--- a/soak/audit.go
+++ b/soak/audit.go
@@ -76,6 +76,9 @@
 				return
 			}
 			req.Host = "roster.example"
+			if hasCustomers(f.options.Seed) {
+				req.Header.Set("Cuminwheel-Key", crashKey)
+			}
 			if res, err := http.DefaultClient.Do(req); err == nil {
 				res.Body.Close()
 			}
--- /dev/null
+++ b/soak/customers.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"math/rand/v2"
+
+	"github.com/cuminwheel/cuminwheel/standin/caller"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
+)
+
+// Names of the customers. A hot customer is asked for more than its quota.
+const (
+	customerUnlimited = "lonja"
+	customerModerate  = "huerta"
+	customerHot       = "feria"
+)
+
+// crashKey is the key of the requests that crash targets. No schedule removes it.
+const crashKey = customerUnlimited + "-0"
+
+// keysPerCustomer is how many keys callers send for each customer. The last of them is in
+// no configuration until the schedule adds it.
+const keysPerCustomer = 3
+
+// hasCustomers reports whether the configurations of a seed have customers: those of one
+// seed in four.
+func hasCustomers(seed uint64) bool {
+	return rand.New(rand.NewPCG(seed, 87)).IntN(4) == 0
+}
+
+func keyOf(customer string, i int) string { return customer + "-" + string(rune('0'+i)) }
+
+// initialCustomers returns the customers of the first configuration.
+func initialCustomers() []configuration.DraftCustomer {
+	customers := []configuration.DraftCustomer{
+		{Name: customerUnlimited},
+		{Name: customerModerate, RequestsPerSecond: 60, Burst: 60, Priority: 1},
+		{Name: customerHot, RequestsPerSecond: 6, Burst: 6, Priority: 1},
+	}
+	for i, c := range customers {
+		customers[i].Keys = []string{keyOf(c.Name, 0), keyOf(c.Name, 1)}
+	}
+	return customers
+}
+
+// soakCredentials returns all keys that a schedule may use. Those of the hot customer get
+// half of the load.
+func soakCredentials(customers []configuration.DraftCustomer) (credentials []caller.Credential) {
+	for _, c := range customers {
+		for i := range keysPerCustomer {
+			credential := caller.Credential{Key: keyOf(c.Name, i), Customer: c.Name}
+			credentials = append(credentials, credential)
+			if c.Name == customerHot {
+				credentials = append(credentials, credential)
+			}
+		}
+	}
+	return credentials
+}
+
+// recoveryCredentials returns the keys whose requests must be answered: those in force of
+// the customers that stay below their quota.
+func recoveryCredentials(customers []configuration.DraftCustomer) (credentials []caller.Credential) {
+	for _, c := range customers {
+		for _, key := range c.Keys {
+			if c.Name != customerHot {
+				credentials = append(credentials, caller.Credential{Key: key, Customer: c.Name})
+			}
+		}
+	}
+	return credentials
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -82,6 +82,9 @@
 	// write, so an older version that is retried late would replace a newer one.
 	publishMu sync.Mutex
 
+	// customers are those of the next publication. publishMu guards them.
+	customers []configuration.DraftCustomer
+
 	mu         sync.Mutex
 	version    uint64
 	violations []string
@@ -93,6 +96,9 @@
 // not be carried out; violated guarantees are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
 	f := &fleet{options: o, lastFault: make([]time.Time, o.Nodes)}
+	if hasCustomers(o.Seed) {
+		f.customers = initialCustomers()
+	}
 	defer f.stop()
 	if err := f.start(ctx); err != nil {
 		return Report{}, err
@@ -102,12 +108,12 @@
 	defer stopWatch()
 	go f.watchVersions(watchCtx)
 	r := Report{Seed: o.Seed, Events: len(events)}
-	report, generator := f.sendLoad(ctx, o.Duration, func() { f.injectFaults(ctx, events) })
+	report, generator := f.sendLoad(ctx, o.Duration, soakCredentials(f.customers), func() { f.injectFaults(ctx, events) })
 	f.restoreFleet()
 	if err := f.waitUntilConverged(ctx, settleTimeout); err != nil {
 		f.recordViolation("recovery: %v", err)
 	}
-	recovery, recoveryGenerator := f.sendLoad(ctx, recoveryLoadTime, func() {})
+	recovery, recoveryGenerator := f.sendLoad(ctx, recoveryLoadTime, recoveryCredentials(f.customers), func() {})
 	stopWatch()
 	f.stop()
 	executions, err := caller.ReadExecutions(f.executionFiles())
@@ -265,6 +271,7 @@
 			{Name: "claim", Host: "roster.example", Prefix: "/claims/", NonIdempotent: true, TimeoutMillis: 1500, TargetLatencyMillis: 800, MaxAttempts: 2, WeightedServices: weightedServices("reparto")},
 			{Name: "check", Host: "roster.example", Prefix: "/check/", TimeoutMillis: 1000, TargetLatencyMillis: 300, Priority: 1, MaxAttempts: 2, WeightedServices: weightedServices("reparto")},
 		},
+		Customers: f.customers,
 	})
 	if err != nil {
 		return err
@@ -281,7 +288,7 @@
 
 // sendLoad sends requests to all entries for the duration while background runs, and
 // returns when both have ended.
-func (f *fleet) sendLoad(ctx context.Context, duration time.Duration, background func()) (caller.Report, *caller.Generator) {
+func (f *fleet) sendLoad(ctx context.Context, duration time.Duration, credentials []caller.Credential, background func()) (caller.Report, *caller.Generator) {
 	var entries []string
 	for i := range f.options.Nodes {
 		entries = append(entries, f.address(i, portEntry))
@@ -289,7 +296,7 @@
 	generator, closeGenerator := caller.New(caller.Workload{
 		Entries: entries, Host: "roster.example", Paths: []string{"/board/today", "/check/slot"}, ClaimPaths: []string{"/claims/new"},
 		ClaimShare: 0.4, Rate: f.options.Rate, Until: time.Now().Add(duration), Timeout: callerTimeout, MaxInFlight: 500,
-		Seed: f.options.Seed*2 + uint64(duration.Milliseconds()),
+		Credentials: credentials, Seed: f.options.Seed*2 + uint64(duration.Milliseconds()),
 	})
 	defer closeGenerator()
 	done := make(chan struct{})
