standin: record the times of runs and the keys of requests

The soak has to compare when a request with a customer ran with when its key was removed. Targets add a line with the time to the record of executions of such requests, and a generator returns its attempts with key, entry and time. The other lines, and runs without customers, are as before.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -76,6 +76,34 @@
 	// isReportedNotRun is set if the response says that the request did not run.
 	isReportedNotRun bool
 	hasNoResponse    bool
+	attempt          Attempt
+}
+
+// Attempt is a request as its caller sent it, for audits of keys.
+type Attempt struct {
+	ID, Key, Entry string
+	SentAt         time.Time
+	EndedAt        time.Time
+	// IsUnauthorized is set if the response was 401.
+	IsUnauthorized bool
+}
+
+// Attempts returns all requests sent.
+func (g *Generator) Attempts() []Attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	attempts := make([]Attempt, 0, len(g.resultsByID))
+	for _, result := range g.resultsByID {
+		attempts = append(attempts, result.attempt)
+	}
+	return attempts
+}
+
+func newAttempt(c call, sentAt time.Time, res *http.Response) Attempt {
+	return Attempt{
+		ID: c.id, Key: c.key, Entry: c.address, SentAt: sentAt, EndedAt: time.Now(),
+		IsUnauthorized: res != nil && res.StatusCode == http.StatusUnauthorized,
+	}
 }
 
 // Bounds of the latency histogram, in µs.
@@ -172,14 +200,15 @@
 	g.updateReport(func(r *Report) { r.Sent++ })
 	id, left := strings.TrimSuffix(c.id, target.RequestID("", c.customer)), g.workload.Timeout
 	for returns := 0; ; {
+		sentAt := time.Now()
 		res, body, err := g.send(ctx, c, left)
 		left = g.workload.Timeout - time.Since(start)
 		wait, ok := returnDelay(res, left)
 		if err != nil || !ok || returns >= g.workload.MaxReturns {
-			g.record(c, res, body, err, time.Since(start))
+			g.record(c, res, body, err, start, newAttempt(c, sentAt, res))
 			return
 		}
-		g.recordReturn(c)
+		g.recordReturn(c, newAttempt(c, sentAt, res))
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -214,19 +243,20 @@
 }
 
 // recordReturn records an attempt that was refused and is sent again under another ID.
-func (g *Generator) recordReturn(c call) {
+func (g *Generator) recordReturn(c call, a Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.report.Returns++
-	g.resultsByID[c.id] = callResult{isClaim: c.isClaim, isReportedNotRun: true}
+	g.resultsByID[c.id] = callResult{isClaim: c.isClaim, isReportedNotRun: true, attempt: a}
 }
 
 // record records the outcome of a request. Responses of the proxy carry an outcome code,
 // responses of a target none.
-func (g *Generator) record(c call, res *http.Response, body []byte, err error, latency time.Duration) {
+func (g *Generator) record(c call, res *http.Response, body []byte, err error, start time.Time, a Attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	result := callResult{isClaim: c.isClaim}
+	result := callResult{isClaim: c.isClaim, attempt: a}
+	latency := a.EndedAt.Sub(start)
 	defer func() { g.resultsByID[c.id] = result }()
 	if err != nil {
 		g.report.NoResponse++
--- a/standin/target/identity_audit.go
+++ b/standin/target/identity_audit.go
@@ -13,6 +13,9 @@
 	WrongCustomerID = "wrong_customer"
 	// KeyForwardedID is recorded for each request that arrives with a caller's key.
 	KeyForwardedID = "key_forwarded"
+	// RunPrefix begins the line of a run of a request with a customer, before its time in
+	// Unix ms, a colon and the ID of the request.
+	RunPrefix = "run:"
 )
 
 // customerSeparator separates the ID of a request from the name of its customer.
@@ -28,12 +31,17 @@
 	return id + customerSeparator + customer
 }
 
+// Customer returns the customer that the ID of a request names.
+func Customer(id string) string {
+	_, name, _ := strings.Cut(id, customerSeparator)
+	return name
+}
+
 // auditIdentity records a request with another customer than its ID names, or with a key.
 // Requests without an ID are not audited for their customer.
 func (s *Server) auditIdentity(r *http.Request) {
 	id := r.Header.Get(headerRequestID)
-	_, expected, _ := strings.Cut(id, customerSeparator)
-	got := r.Header.Values(headerCustomer)
+	expected, got := Customer(id), r.Header.Values(headerCustomer)
 	isWrong := len(got) > 1 || strings.Join(got, "") != expected
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -296,6 +296,9 @@
 		fmt.Fprintln(s.executions, StartedAfterDrainID)
 	}
 	fmt.Fprintln(s.executions, id)
+	if Customer(id) != "" {
+		fmt.Fprintf(s.executions, "%s%d:%s\n", RunPrefix, time.Now().UnixMilli(), id)
+	}
 }
 
 // response is the body of a response.
