--- a/soak/audit.go
+++ b/soak/audit.go
@@ -32,13 +32,37 @@
 	return slices.Contains([]string{faultKill, faultTerminate, faultPause, faultLink, faultReset, faultKillAll}, e.kind)
 }
 
-// recordFault records that the node of an event is out of touch, if the event does that.
-func (f *fleet) recordFault(e event) {
+// recordFault records that the node of an event is out of touch, or that the store delays
+// configurations, if the event does that. It returns a function that records the end.
+func (f *fleet) recordFault(e event) func() {
+	start := time.Now()
+	var faults []*[]interval
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.lastFault {
 		if e.affectsNode() && (i == e.node || e.kind == faultKillAll) {
-			f.lastFault[i] = time.Now()
+			f.lastFault[i] = start
+			faults = append(faults, &f.history.nodeFaults[i])
+		}
+	}
+	if e.kind == faultStore || e.kind == faultRevert {
+		faults = append(faults, &f.history.storeFaults)
+	}
+	indexes := make([]int, len(faults))
+	for k, list := range faults {
+		indexes[k] = len(*list)
+		*list = append(*list, interval{start: start})
+	}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for k, list := range faults {
+			(*list)[indexes[k]].end = time.Now()
+		}
+		for i := range f.lastFault {
+			if e.affectsNode() && (i == e.node || e.kind == faultKillAll) {
+				f.lastFault[i] = time.Now()
+			}
 		}
 	}
 }
--- a/soak/customers.go
+++ b/soak/customers.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/cuminwheel/cuminwheel/standin/caller"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
@@ -69,3 +71,43 @@
 	}
 	return credentials
 }
+
+// insertCustomerChanges adds removals and additions of keys to the schedules with
+// customers. It draws from random numbers of its own, as insertReversion does. The changes
+// fall into the first half, so that the old keys are used for some seconds afterwards.
+func insertCustomerChanges(events []event, seed uint64, duration time.Duration) []event {
+	if !hasCustomers(seed) {
+		return events
+	}
+	rng := rand.New(rand.NewPCG(seed, 88))
+	for _, kind := range []string{faultRemoveKey, faultRemoveKey, faultAddKey, faultAddKey} {
+		names := []string{customerUnlimited, customerModerate, customerHot}
+		e := event{at: time.Duration(rng.Int64N(int64(duration / 2))), kind: kind, customer: names[rng.IntN(len(names))]}
+		if rng.IntN(4) > 0 {
+			events = insertInOrder(events, e)
+		}
+	}
+	return events
+}
+
+// changeCustomers returns the customers with the change of the event. Published customers
+// are never modified, since the history holds them.
+func (e event) changeCustomers(customers []configuration.DraftCustomer) []configuration.DraftCustomer {
+	changed := slices.Clone(customers)
+	for i := range changed {
+		c := &changed[i]
+		if c.Name != e.customer {
+			continue
+		}
+		removed, added := keyOf(c.Name, 1), keyOf(c.Name, keysPerCustomer-1)
+		switch e.kind {
+		case faultRemoveKey:
+			c.Keys = slices.DeleteFunc(slices.Clone(c.Keys), func(key string) bool { return key == removed })
+		case faultAddKey:
+			if !slices.Contains(c.Keys, added) {
+				c.Keys = append(slices.Clone(c.Keys), added)
+			}
+		}
+	}
+	return changed
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -49,8 +49,7 @@
 // and what it stopped is restarted.
 func (f *fleet) applyFault(ctx context.Context, e event) {
 	node, target := f.nodes[e.node], f.targets[e.node]
-	f.recordFault(e)
-	defer f.recordFault(e)
+	defer f.recordFault(e)()
 	switch e.kind {
 	case faultKill:
 		node.signal(syscall.SIGKILL)
@@ -126,6 +125,10 @@
 		if err := f.publish(ctx); err != nil {
 			f.recordViolation("publish: %v", err)
 		}
+	case faultRemoveKey, faultAddKey:
+		if err := f.publishCustomers(ctx, e.changeCustomers); err != nil {
+			f.recordViolation("publish: %v", err)
+		}
 	case faultKillAll:
 		for _, n := range f.nodes {
 			n.signal(syscall.SIGKILL)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -25,6 +25,8 @@
 	faultLimit     = "limit"
 	faultLeave     = "leave"
 	faultCrash     = "crashing_request"
+	faultRemoveKey = "remove_key"
+	faultAddKey    = "add_key"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
@@ -41,11 +43,12 @@
 	targetFault string
 	storeFault  string
 	limits      [2]float64
+	customer    string
 }
 
 func (e event) String() string {
-	return fmt.Sprintf("at %5d ms: %s node=%d for=%d ms link=%s target=%s store=%s limits=%v",
-		e.at.Milliseconds(), e.kind, e.node, e.duration.Milliseconds(), e.linkMode, e.targetFault, e.storeFault, e.limits)
+	return fmt.Sprintf("at %5d ms: %s node=%d for=%d ms link=%s target=%s store=%s limits=%v customer=%s",
+		e.at.Milliseconds(), e.kind, e.node, e.duration.Milliseconds(), e.linkMode, e.targetFault, e.storeFault, e.limits, e.customer)
 }
 
 // Faults that the stand-in targets and the stand-in store can be set to, in JSON.
@@ -82,7 +85,7 @@
 	if rng.IntN(3) == 0 {
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
-	return insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
+	return insertCustomerChanges(insertNotices(insertReversion(events, seed, duration), seed, nodes, duration), seed, duration)
 }
 
 // Limits that targets name, in requests per second. The second replaces the first in the
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cuminwheel/cuminwheel/platform"
 	"github.com/cuminwheel/cuminwheel/standin/caller"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
@@ -87,6 +86,7 @@
 
 	mu         sync.Mutex
 	version    uint64
+	history    history
 	violations []string
 	// lastFault is when each node was last out of touch.
 	lastFault []time.Time
@@ -95,7 +95,7 @@
 // Run runs a fleet under the faults of a seed. An error means that the run could
 // not be carried out; violated guarantees are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	f := &fleet{options: o, lastFault: make([]time.Time, o.Nodes)}
+	f := &fleet{options: o, lastFault: make([]time.Time, o.Nodes), history: history{nodeFaults: make([][]interval, o.Nodes)}}
 	if hasCustomers(o.Seed) {
 		f.customers = initialCustomers()
 	}
@@ -123,6 +123,9 @@
 	r.Caller, r.AfterFaults = generator.Audit(report, executions), recoveryGenerator.Audit(recovery, executions)
 	f.checkReport(r)
 	f.checkNotices(events, executions)
+	if err := f.checkCustomers(append(generator.Attempts(), recoveryGenerator.Attempts()...)); err != nil {
+		return r, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.Violations = f.violations
@@ -250,42 +253,6 @@
 	return f.targets[i].start()
 }
 
-// publish writes the next version of the configuration. It connects to the store
-// directly, so that link faults do not affect it, and retries while the store
-// itself fails.
-func (f *fleet) publish(ctx context.Context) error {
-	f.publishMu.Lock()
-	defer f.publishMu.Unlock()
-	f.mu.Lock()
-	f.version++
-	version := f.version
-	f.mu.Unlock()
-	weightedServices := func(service string) []configuration.DraftWeightedService {
-		return []configuration.DraftWeightedService{{Service: service, Weight: 1}}
-	}
-	encoded, err := platform.EncodeConfiguration(configuration.Draft{
-		Version:  version,
-		Services: []configuration.DraftService{{Name: "tablero"}, {Name: "reparto"}},
-		Routes: []configuration.DraftRoute{
-			{Name: "board", Host: "roster.example", Prefix: "/board/", TimeoutMillis: 1500, TargetLatencyMillis: 800, Priority: 2, MaxAttempts: 2, WeightedServices: weightedServices("tablero")},
-			{Name: "claim", Host: "roster.example", Prefix: "/claims/", NonIdempotent: true, TimeoutMillis: 1500, TargetLatencyMillis: 800, MaxAttempts: 2, WeightedServices: weightedServices("reparto")},
-			{Name: "check", Host: "roster.example", Prefix: "/check/", TimeoutMillis: 1000, TargetLatencyMillis: 300, Priority: 1, MaxAttempts: 2, WeightedServices: weightedServices("reparto")},
-		},
-		Customers: f.customers,
-	})
-	if err != nil {
-		return err
-	}
-	client, closeClient := platform.NewStore(f.storeAddress())
-	defer closeClient()
-	for deadline := time.Now().Add(startTimeout); ; time.Sleep(pollInterval) {
-		err := client.Put(ctx, platform.ConfigurationTopic, platform.ConfigurationKey, encoded)
-		if err == nil || ctx.Err() != nil || time.Now().After(deadline) {
-			return err
-		}
-	}
-}
-
 // sendLoad sends requests to all entries for the duration while background runs, and
 // returns when both have ended.
 func (f *fleet) sendLoad(ctx context.Context, duration time.Duration, credentials []caller.Credential, background func()) (caller.Report, *caller.Generator) {
