soak: lower a quota, audit the quota rule over all targets

Nothing checked under kills, restarts and cuts that all nodes together keep to a customer's quota. For each window of 5 s that ends with a run, the distinct requests that ran at all targets are compared with the highest quota in force at nodes in touch; no node is excused.

--- a/soak/customers.go
+++ b/soak/customers.go
@@ -19,6 +19,10 @@
 // crashKey is the key of the requests that crash targets. No schedule removes it.
 const crashKey = customerUnlimited + "-0"
 
+// loweredQuota is the rate, in requests per second, and the burst of the hot customer after
+// its quota has been lowered from 6.
+const loweredQuota = 3
+
 // keysPerCustomer is how many keys callers send for each customer. The last of them is in
 // no configuration until the schedule adds it.
 const keysPerCustomer = 3
@@ -72,8 +76,8 @@
 	return credentials
 }
 
-// insertCustomerChanges adds removals and additions of keys to the schedules with
-// customers. It draws from random numbers of its own, as insertReversion does. The changes
+// insertCustomerChanges adds removals and additions of keys, and a lower quota of the hot
+// customer, to the schedules with customers. It draws from random numbers of its own, as insertReversion does. The changes
 // fall into the first half, so that the old keys are used for some seconds afterwards.
 func insertCustomerChanges(events []event, seed uint64, duration time.Duration) []event {
 	if !hasCustomers(seed) {
@@ -87,6 +91,10 @@
 			events = insertInOrder(events, e)
 		}
 	}
+	if rng.IntN(2) == 0 {
+		at := time.Duration(rng.Int64N(int64(duration / 2)))
+		events = insertInOrder(events, event{at: at, kind: faultQuota, customer: customerHot})
+	}
 	return events
 }
 
@@ -103,6 +111,8 @@
 		switch e.kind {
 		case faultRemoveKey:
 			c.Keys = slices.DeleteFunc(slices.Clone(c.Keys), func(key string) bool { return key == removed })
+		case faultQuota:
+			c.RequestsPerSecond, c.Burst = loweredQuota, loweredQuota
 		case faultAddKey:
 			if !slices.Contains(c.Keys, added) {
 				c.Keys = append(slices.Clone(c.Keys), added)
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -125,7 +125,7 @@
 		if err := f.publish(ctx); err != nil {
 			f.recordViolation("publish: %v", err)
 		}
-	case faultRemoveKey, faultAddKey:
+	case faultRemoveKey, faultAddKey, faultQuota:
 		if err := f.publishCustomers(ctx, e.changeCustomers); err != nil {
 			f.recordViolation("publish: %v", err)
 		}
--- a/soak/key_audit.go
+++ b/soak/key_audit.go
@@ -123,8 +123,8 @@
 	return ran, unauthorized
 }
 
-// checkCustomers records a violation for requests that ran with a removed key, and for keys
-// in force that were refused.
+// checkCustomers records a violation for requests that ran with a removed key, for keys in
+// force that were refused, and for customers that exceeded their quota.
 func (f *fleet) checkCustomers(attempts []caller.Attempt) error {
 	if !hasCustomers(f.options.Seed) {
 		return nil
@@ -149,5 +149,8 @@
 	if unauthorized > 0 {
 		f.recordViolation("requests with a key in force that got 401: %d", unauthorized)
 	}
+	for name, excess := range h.countQuotaExcess(runs) {
+		f.recordViolation("requests of customer %s beyond its quota in %v: %d", name, quotaWindow, excess)
+	}
 	return nil
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -27,6 +27,7 @@
 	faultCrash     = "crashing_request"
 	faultRemoveKey = "remove_key"
 	faultAddKey    = "add_key"
+	faultQuota     = "lower_quota"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
