gate: refuse the requests of removed customers in the shared queue too

Cause: RefuseCustomers searched only the queue of the default scheduling, so that with the shared one the requests of a customer that has been removed kept waiting for a slot. The case for the shared scheduling of TestRemovedCustomerLeavesQueue fails without the change and passes with it.

--- a/process/gate/customers.go
+++ b/process/gate/customers.go
@@ -12,10 +12,17 @@
 func (g *Gate) RefuseCustomers(isRemoved func(name string) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.refuseIf(func(req hopheader.Request) *outcome.Problem {
+	problemOf := func(req hopheader.Request) *outcome.Problem {
 		if req.Customer == "" || !isRemoved(req.Customer) {
 			return nil
 		}
 		return outcome.Refused(outcome.CodeUnauthorized, "the customer has been removed")
-	})
+	}
+	g.queue.refuseIf(problemOf)
+	for _, e := range g.shared.All() {
+		if p := problemOf(e.Value.request); p != nil {
+			g.shared.Remove(e)
+			e.Value.decisions <- decision{problem: p}
+		}
+	}
 }
--- a/process/gate/customers_test.go
+++ b/process/gate/customers_test.go
@@ -6,15 +6,26 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/matryer/is"
 )
 
-// The queued requests of a removed customer must be refused at once. Those of other
-// customers, those without one and those that run must not be.
+// The queued requests of a removed customer must be refused at once, whatever queue they
+// are in. Those of other customers, those without one and those that run must not be.
 func TestRemovedCustomerLeavesQueue(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		modes configuration.Modes
+	}{{"default scheduling", configuration.Modes{}}, {"shared scheduling", configuration.Modes{Scheduling: configuration.SchedulingShared}}} {
+		t.Run(test.name, func(t *testing.T) { testRemovedCustomer(t, test.modes) })
+	}
+}
+
+func testRemovedCustomer(t *testing.T, modes configuration.Modes) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := openGate(t)
+		g.options.Modes = func() configuration.Modes { return modes }
 		admit := func(customer string) (grant, *outcome.Problem) {
 			req := requestWithin(5 * time.Second)
 			req.Customer = customer
