--- a/soak/audit.go
+++ b/soak/audit.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/standin/caller"
 	"github.com/cuminwheel/cuminwheel/standin/target"
 )
 
@@ -101,7 +102,7 @@
 			}
 			req.Host = "roster.example"
 			if hasCustomers(f.options.Seed) {
-				req.Header.Set("Cuminwheel-Key", crashKey)
+				caller.SetKey(req.Header, crashKey)
 			}
 			if res, err := http.DefaultClient.Do(req); err == nil {
 				res.Body.Close()
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -317,10 +317,13 @@
 	h.Set("Cuminwheel-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	h.Set("Cuminwheel-Tenant-Id", "forged")
 	if key != "" {
-		h.Set("Cuminwheel-Key", key)
+		SetKey(h, key)
 	}
 }
 
+// SetKey sets the platform's header with the key of a customer.
+func SetKey(h http.Header, key string) { h.Set("Cuminwheel-Key", key) }
+
 func (g *Generator) updateReport(update func(*Report)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
