--- a/process/contact/doc.go
+++ b/process/contact/doc.go
@@ -1,7 +1,7 @@
 // Package contact decides from the results of a node's own traffic whether the node is
 // isolated from the other nodes.
 //
-// The load pattern it answers: a third of the VMs is cut off from all others for ten
+// The load that it answers: a third of the VMs is cut off from all others for ten
 // seconds, one VM by itself or some together, while their callers and targets go on. An
 // isolated node can serve its callers with the target beside it alone, and calls of that
 // target fail. It should send its callers elsewhere.
