quota: ask distinct nodes for a way to a home

Cause: the two nodes that are asked whether they reach a home were drawn with repetition, and the home itself could be among them. With one broken link a check found no way about once in a hundred times; it takes 0.6 s, and the next one ends about when the takeover after 1.2 s begins, so that a home which others reach was replaced. Change: distinct nodes, without the home.

--- a/process/quota/outage.go
+++ b/process/quota/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -105,25 +106,25 @@
 	}
 }
 
-// findRelay asks random nodes whether they reach the node and returns one that does.
+// findRelay asks distinct random nodes whether they reach the node and returns one that does.
+// A node that is asked twice, or the unreachable one itself, would leave a single broken link
+// undetected for so long that the home is replaced.
 func (t *outageTable) findRelay(address string) string {
-	peers := t.home.peers()
-	if len(peers) == 0 {
-		return "" // The node itself has just left.
-	}
+	peers := slices.DeleteFunc(slices.Clone(t.home.peers()), func(peer string) bool { return peer == address })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(relayCount, len(peers))]
 	found := make(chan string, relayCount)
-	for range relayCount {
+	for _, peer := range peers {
 		go func() {
-			peer := peers[rand.IntN(len(peers))]
 			var reply CheckReply
-			if peer == address || !t.home.callWithin(2*callTimeout, peer, methodCheck, CheckRequest{Via: address}, &reply) || !reply.Reached {
+			if !t.home.callWithin(2*callTimeout, peer, methodCheck, CheckRequest{Via: address}, &reply) || !reply.Reached {
 				peer = ""
 			}
 			found <- peer
 		}()
 	}
 	relay := ""
-	for range relayCount {
+	for range peers {
 		if peer := <-found; peer != "" {
 			relay = peer
 		}
