review: case 4, nodes that know only themselves each grant a tenant's whole quota; KNOWN-RED

It takes the place of the grants around a freeze, which stay among the programs. The names of the platform that the stand-ins use are in wire.txt, so that platform.TestWireNamesAreEncapsulated passes.

--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -39,7 +39,7 @@
 
 // head returns the head of a request.
 func head(method, host, path, id string, budget time.Duration, headers map[string]string, length int) string {
-	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nCuminwheel-Request-Id: %s\r\nCuminwheel-Deadline-Ms: %d\r\n", method, path, host, id, budget.Milliseconds())
+	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, wire("request_id"), id, wire("deadline"), budget.Milliseconds())
 	for name, value := range headers {
 		h += name + ": " + value + "\r\n"
 	}
--- a/review/cases/expect.go
+++ b/review/cases/expect.go
@@ -29,7 +29,7 @@
 	unanswered := 0
 	for i := range claims {
 		id := newID()
-		body := fmt.Sprintf("POST /puka111/take/%d HTTP/1.1\r\nHost: %s\r\nCuminwheel-Request-Id: text-in-body-%d\r\nCuminwheel-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n", i, host, i)
+		body := head("POST", host, fmt.Sprintf("/puka111/take/%d", i), fmt.Sprintf("text-in-body-%d", i), 1500*time.Millisecond, nil, 0)
 		if i%2 == 1 {
 			body = fmt.Sprintf("shift %d", i)
 		}
--- a/review/cases/leave.go
+++ b/review/cases/leave.go
@@ -99,7 +99,7 @@
 // leave deregisters the server until the node confirms it.
 func (l *leavers) leave(s *server) (confirmedAt time.Time) {
 	for range 20 {
-		if s.tell(l.gate.admin, "instances.deregister", nil) {
+		if s.tell(l.gate.admin, "leave_call", nil) {
 			l.rec.add("the node beside %s has confirmed that it leaves", s.id)
 			return time.Now()
 		}
@@ -134,11 +134,11 @@
 	ping := second.pingBody("ready")
 	if trouble {
 		time.AfterFunc(3*time.Second, func() {
-			second.tell(l.gate.admin, "instances.heartbeat", ping)
+			second.tell(l.gate.admin, "ping_call", ping)
 			rec.add("the first ping of %s, sent 3 s ago, has arrived", second.id)
 		})
 	} else {
-		second.tell(l.gate.admin, "instances.heartbeat", ping)
+		second.tell(l.gate.admin, "ping_call", ping)
 	}
 	time.Sleep(1200 * time.Millisecond)
 	confirmedAt := l.leave(second)
@@ -177,11 +177,11 @@
 	ping := s.pingBody("ready")
 	if trouble {
 		time.AfterFunc(4*time.Second, func() {
-			s.tell(l.gate.admin, "instances.heartbeat", ping)
+			s.tell(l.gate.admin, "ping_call", ping)
 			rec.add("a ping of %s, sent 4 s ago, has arrived", s.id)
 		})
 	} else {
-		s.tell(l.gate.admin, "instances.heartbeat", ping)
+		s.tell(l.gate.admin, "ping_call", ping)
 	}
 	time.Sleep(200 * time.Millisecond)
 	confirmedAt := l.leave(s)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,6 +20,8 @@
 	"copies":          caseCopies,
 	"reverted":        caseReverted,
 	"quota":           caseQuota,
+	"race":            caseRace,
+	"alone":           caseAlone,
 	"keys":            caseKeys,
 	"late-ping":       caseLatePing,
 	"forgotten-leave": caseForgottenLeave,
