follower: the fake source of the tests does not wait although records lie past the position

Seen: TestActivationOfPublishedVersions failed in 3 of 4,000 runs with the race detector: a version was not active within 2.5 s.

Cause: the fake itself. Next took the channel of the next append without looking whether records already lay past the position, and waited for up to 28 s. The store responds to a read as soon as a record is available. Versions that were published while the follower paused between two calls were thus delivered late by the fake alone.

Change: the fake returns at once in that case. The checks are the same.

--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -42,6 +42,13 @@
 	appended chan struct{}
 }
 
+// closed is a channel that is always ready.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 func newSource() *source { return &source{appended: make(chan struct{})} }
 
 func (s *source) publish(record string) {
@@ -76,6 +83,10 @@
 	s.mu.Lock()
 	s.calls++
 	unavailable, silent, trimmed, appended := s.unavailable, s.silent, position < int64(s.first), s.appended
+	if position < int64(len(s.records)) {
+		// Like the store, a read from a position with records does not wait.
+		appended = closed
+	}
 	s.mu.Unlock()
 	switch {
 	case silent:
