follower, http1, gate, entry: logs and a metric that tell the incident's hypotheses apart

A wait at the store that has not ended left no trace: cuminwheel_store_response_age_seconds shows when the store last responded, and a failed call says how long it waited.

A shed request did not show whether its response came over a connection that had carried it before: "request sent again over the connection that has carried it" and "late responses to earlier requests skipped" show it, and "request to target failed" says whether the request was a repeat.

A request that ends with 404 did not show whether the node knew of a newer version: a warning says so.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -102,6 +102,10 @@
 	return res, nil
 }
 
+// HasCarried reports whether the connection has carried a request with the ID lately. A
+// late response to that one cannot be told from the response to another with the same ID.
+func (c *Conn) HasCarried(id string) bool { return id != "" && slices.Contains(c.servedIDs, id) }
+
 // awaitContinue waits for a 100 response. Any other response is the final one,
 // with which the peer refuses the request.
 func (c *Conn) awaitContinue(ctx context.Context, r Request, responseID IDFunc) (final *Response, reusable bool, err error) {
@@ -139,6 +143,7 @@
 // readResponse reads the final response to the request. It skips interim
 // responses and late responses to earlier requests of the connection.
 func (c *Conn) readResponse(ctx context.Context, r Request, responseID IDFunc) (*Response, bool, error) {
+	skippedLate := 0
 	for range maxSkipped + 1 {
 		c.input.remaining = maxResponseHeadBytes
 		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -175,6 +180,7 @@
 		if gotID != r.ID && (gotID != "" || r.RequireID) {
 			memory.release()
 			if delimited && slices.Contains(c.servedIDs, gotID) {
+				skippedLate++
 				continue
 			}
 			return nil, false, errors.Wrapf(ErrMismatchedResponse, "id %q", gotID)
@@ -183,7 +189,7 @@
 		// Bytes after the response belong to no request, so the connection
 		// cannot be reused.
 		reusable := delimited && !hr.Close && c.reader.Buffered() == 0
-		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, memory: memory}
+		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, SkippedLate: skippedLate, memory: memory}
 		// Releases the memory of a response that nobody passes on.
 		runtime.AddCleanup(res, (*reservation).release, memory)
 		return res, reusable, nil
--- a/connection/http1/response.go
+++ b/connection/http1/response.go
@@ -13,6 +13,9 @@
 	Body   []byte
 	// Abort closes the connection instead of sending a response.
 	Abort bool
+	// SkippedLate is how many late responses to earlier requests preceded a response
+	// that Conn.Do returned.
+	SkippedLate int
 	// memory is the reservation for Body; nil if there is none.
 	memory *reservation
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -200,6 +200,10 @@
 		resp = problem.ToResponse(c.id, now)
 	}
 	e.options.Meter.RecordEntryRequest(c.route.Name, code, now.Sub(in.ReceivedAt))
+	if code == outcome.CodeNoRoute && e.isOutdated(c.configurationVersion) {
+		e.options.Logger.Warn("request without a route while a newer configuration is known", "request", c.id,
+			"configuration", c.configurationVersion, "known_version", e.options.KnownVersion())
+	}
 	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service, "customer", c.customer.Name,
 		"configuration", c.configurationVersion, "fingerprint", c.fingerprint, "status", resp.Status, "code", code, "asked", attempts,
 		"took_ms", now.Sub(in.ReceivedAt).Milliseconds(), "left_ms", c.deadline.Sub(now).Milliseconds())
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,6 +49,9 @@
 	source  Source
 	current *Current
 	logger  hclog.Logger
+	// respondedAt is when the source last responded, in Unix nanoseconds; zero if it has
+	// not yet.
+	respondedAt atomic.Int64
 }
 
 // New returns a Follower that passes the configurations of s to c.
@@ -55,12 +59,23 @@
 	return &Follower{source: s, current: c, logger: logger}
 }
 
+// RespondedAt returns when the source last responded to a call, or the zero time. A call
+// that waits for changes has not been responded to until it returns.
+func (f *Follower) RespondedAt() time.Time {
+	nanos := f.respondedAt.Load()
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
+
 // Run reads the newest configuration and then waits for changes, until ctx ends.
 // After an error it starts again with the newest configuration.
 func (f *Follower) Run(ctx context.Context) {
 	position := int64(-1)
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
+		calledAt := time.Now()
 		next, received, err := f.poll(ctx, position)
 		switch {
 		case ctx.Err() != nil:
@@ -71,7 +86,7 @@
 			continue
 		case err != nil:
 			if backoff == 0 {
-				f.logger.Warn("store unavailable; retrying", "reason", err, "position", position)
+				f.logger.Warn("store unavailable; retrying", "reason", err, "position", position, "waited_ms", time.Since(calledAt).Milliseconds())
 			}
 			// The next call is Newest, which does not wait for a change and so
 			// shows soon whether the store responds again.
@@ -84,6 +99,7 @@
 			f.logger.Info("store available again", "position", next)
 			backoff = 0
 		}
+		f.respondedAt.Store(time.Now().UnixNano())
 		position = next
 		if received {
 			sleep(ctx, batchDelay)
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -67,6 +67,7 @@
 	number    uint64
 	routeHash uint32
 	isTrial   bool
+	isRetry   bool
 	run       *run
 }
 
@@ -169,7 +170,7 @@
 	default:
 		g.retryBudget.deposit(now)
 	}
-	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, number: number, routeHash: req.RouteHash, isTrial: isTrial, run: &run{}}
+	return grant{startedAt: now, instance: g.target.announced.Instance, identity: g.target.restrictions.identity, number: number, routeHash: req.RouteHash, isTrial: isTrial, isRetry: req.IsRetry, run: &run{}}
 }
 
 // chargeRetry charges the retry of a failed request at another target to this
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -137,7 +137,7 @@
 	ms := time.Since(gr.startedAt).Milliseconds()
 	if p != nil {
 		g.options.Logger.Warn("request to target failed", "request", id, "instance", gr.instance, "outcome", p.Outcome,
-			"code", p.Code, "reason", p.Detail, "learned", res, "trial", gr.isTrial, "pays_repeat", retryCharged, "took_ms", ms)
+			"code", p.Code, "repeat", gr.isRetry, "reason", p.Detail, "learned", res, "trial", gr.isTrial, "pays_repeat", retryCharged, "took_ms", ms)
 		return
 	}
 	g.options.Logger.Info("target responded", "request", id, "instance", gr.instance, "status", resp.Status,
@@ -166,6 +166,9 @@
 		return nil, resultLost, outcome.Refused(outcome.CodeUnreachable, "connect to the target: %v", err)
 	}
 	defer g.targetConns.Put(conn)
+	if conn.HasCarried(id) {
+		g.options.Logger.Info("request sent again over the connection that has carried it", "request", id, "instance", gr.instance)
+	}
 	h := http1.CopyEndToEnd(in.Header)
 	g.options.Headers.SetTargetHeaders(h, metadata.TargetRequest{
 		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService, Customer: req.Customer,
@@ -184,6 +187,9 @@
 		}
 		return nil, res, p
 	}
+	if resp.SkippedLate > 0 {
+		g.options.Logger.Warn("late responses to earlier requests skipped", "request", id, "instance", gr.instance, "responses", resp.SkippedLate)
+	}
 	signals := g.options.Headers.ParseTargetHeaders(resp.Status, resp.Header)
 	if resp.Status != http.StatusMisdirectedRequest {
 		g.recordNotices(gr, id, signals)
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -21,6 +21,13 @@
 	m.set.NewGauge("cuminwheel_configuration_version", func() float64 {
 		return float64(n.configuration.Configuration().Version)
 	})
+	m.set.NewGauge("cuminwheel_store_response_age_seconds", func() float64 {
+		at := n.follower.RespondedAt()
+		if at.IsZero() {
+			return math.Inf(1)
+		}
+		return time.Since(at).Seconds()
+	})
 	m.set.NewGauge("cuminwheel_configuration_customers", func() float64 {
 		return float64(n.configuration.Configuration().Customers().Len())
 	})
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -68,10 +68,12 @@
 	platform Platform
 
 	configuration *follower.Current
-	view          *membership.View
-	gossiper      *membership.Gossiper
-	gate          *gate.Gate
-	entry         *entry.Entry
+	// follower reads configurations from the store.
+	follower *follower.Follower
+	view     *membership.View
+	gossiper *membership.Gossiper
+	gate     *gate.Gate
+	entry    *entry.Entry
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
 	// contacts knows whether the node is isolated.
@@ -119,6 +121,7 @@
 func (n *Node) start(ctx context.Context) error {
 	s := n.settings
 	n.configuration = follower.NewCurrent(n.platform.DecodeConfiguration, n.logger.Named("configuration"))
+	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration"))
 	n.view = membership.NewView(membership.Record{
 		ControlAddress: cmp.Or(s.AdvertisedControl, s.Control), GateAddress: cmp.Or(s.AdvertisedGate, s.Gate), Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: time.Now().UnixMilli(),
@@ -149,9 +152,7 @@
 	if err := n.listen(e); err != nil {
 		return err
 	}
-	n.startTask(func() {
-		follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration")).Run(ctx)
-	})
+	n.startTask(func() { n.follower.Run(ctx) })
 	n.startTask(func() { n.gossiper.Run(ctx) })
 	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
