--- a/cmd/cuminwheel/standin.go
+++ b/cmd/cuminwheel/standin.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/standin/target"
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -33,7 +34,7 @@
 	if err != nil {
 		return usageError(errors.Wrap(err, "--listen"))
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ConnContext: target.ConnContext}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.Serve(l) }()
 	select {
--- a/process/entry/authentication_test.go
+++ b/process/entry/authentication_test.go
@@ -376,3 +376,64 @@
 		})
 	}
 }
+
+// Guards against a 401 for a valid key: the refusal of a request whose key was removed must
+// not be given to an equal request of the same customer with another key.
+func TestRefusalForRemovedKeyIsNotGivenToOthers(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 4), make(chan struct{})
+	f := newGateFleet(t, queueUntil(entered, release))
+	shared := configuration.Modes{Scheduling: configuration.SchedulingShared}
+	configurations := f.use(customersConfiguration(1, "k1", "k2").WithModes(shared))
+	c := f.newCaller(t)
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := c.call("/claim/", "k1")
+		status <- resp.Status
+	}()
+	<-entered
+	configurations.set(customersConfiguration(2, "k2").WithModes(shared))
+	is.Equal(<-status, http.StatusUnauthorized)
+	close(release)
+	resp, _ := c.call("/claim/", "k2")
+	is.Equal(resp.Status, http.StatusOK)
+}
+
+// Guards against a 404 for a route that a newer version has, at a node that knows of this
+// version and does not have it yet.
+func TestUnknownRouteWaitsForNewerConfiguration(t *testing.T) {
+	withRoute := configuration.New(2, []configuration.Service{{Name: "s"}}, configuration.Limits{}, []configuration.Route{{
+		Name: "new", Host: "h", Prefix: "/new/", Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2,
+		WeightedServices: []configuration.WeightedService{{Service: "s", Weight: 1}},
+	}})
+	tests := []struct {
+		name, path  string
+		known       uint64
+		arrivesIn   time.Duration
+		status      int
+		least, most time.Duration
+	}{
+		{"arrives in time", "/new/", 2, 200 * time.Millisecond, 200, 200 * time.Millisecond, 900 * time.Millisecond},
+		{"does not arrive", "/new/", 2, time.Minute, 503, newKeyWait, newKeyWait + 500*time.Millisecond},
+		{"arrives without the route", "/other/", 2, 200 * time.Millisecond, 404, 200 * time.Millisecond, 900 * time.Millisecond},
+		{"no newer one is known", "/new/", 1, time.Minute, 404, 0, 200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newGateFleet(t, respondOK("a"))
+			configurations := f.use(customersConfiguration(1))
+			f.entry.options.KnownVersion = func() uint64 { return test.known }
+			c := f.newCaller(t)
+			timer := time.AfterFunc(test.arrivesIn, func() { configurations.set(withRoute) })
+			defer timer.Stop()
+			startedAt := time.Now()
+			resp, _ := c.call(test.path, "")
+			is.Equal(resp.Status, test.status)
+			took := time.Since(startedAt)
+			is.True(took >= test.least-20*time.Millisecond)
+			is.True(took <= test.most)
+		})
+	}
+}
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -376,3 +376,20 @@
 		})
 	}
 }
+
+// Guards against a response that passes on a status which promises that the request has not
+// run, although the target does not say so.
+func TestStatusWithoutNotExecutedIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			g := openGate(t)
+			response := http1.Response{Status: status, Header: http.Header{}}
+			resp, _, p := g.classifyResponse(&response, notRunHeaders{}.ParseTargetHeaders(status, response.Header))
+			is.True(resp == nil)
+			is.True(p != nil)
+			is.Equal(p.Outcome, outcome.Unknown)
+			is.Equal(p.Status, http.StatusBadGateway)
+		})
+	}
+}
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -102,7 +102,9 @@
 	t := f.t
 	v := f.addVMWithTarget(func(v *vm) {
 		v.target = target.New(fmt.Sprintf("i%d", len(f.vms)), "s", 3, 10*time.Millisecond, f.executions)
-		server := httptest.NewServer(v.target.Handler())
+		server := httptest.NewUnstartedServer(v.target.Handler())
+		server.Config.ConnContext = target.ConnContext
+		server.Start()
 		t.Cleanup(server.Close)
 		v.settings.Target = strings.TrimPrefix(server.URL, "http://")
 	})
@@ -188,20 +190,38 @@
 	f.t.Helper()
 	last := ""
 	for range 200 {
-		res, err := http.Get("http://" + v.settings.Metrics + "/status")
-		if err == nil {
-			b := make([]byte, 4096)
-			n, _ := res.Body.Read(b)
-			res.Body.Close()
-			if last = string(b[:n]); strings.Contains(last, text) {
-				return
-			}
+		if last = f.status(v); strings.Contains(last, text) {
+			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	f.t.Fatalf("status does not contain %q; the last one was %s", text, last)
 }
 
+// status returns the response of /status, or "" if there is none.
+func (f *fleet) status(v *vm) string {
+	res, err := http.Get("http://" + v.settings.Metrics + "/status")
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return string(b)
+}
+
+// Guards against a refusal that a target sends twice: the second copy arrives while the
+// target runs the next attempt of the same request, which must not be reported as not run.
+func TestRepeatedRefusalIsNotTakenForTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 1)
+	f.vms[0].target.SetFaults(target.Faults{ShedShare: 0.5, RepeatShare: 1, SlowFactor: 2})
+	r := f.load(f.vms, func() {})
+	is.True(r.NotRun > 0)
+	is.True(r.Answered > 0)
+	is.Equal(r.FalseNotRun, 0)
+	is.Equal(r.Duplicated, 0)
+}
+
 // load sends requests to the entries for 3 s and calls during after 1 s.
 func (f *fleet) load(entries []*vm, during func()) caller.Report {
 	return f.loadFor(3*time.Second, entries, during)
@@ -248,6 +268,8 @@
 		{"a target returns the responses to other requests", func(f *fleet) { f.vms[0].target.SetFaults(target.Faults{WrongRequestID: true}) }},
 		{"a target sends an extra response", func(f *fleet) { f.vms[0].target.SetFaults(target.Faults{DuplicateResponse: true}) }},
 		{"a target sheds requests", func(f *fleet) { f.vms[0].target.SetFaults(target.Faults{ShedShare: 0.9}) }},
+		{"a target repeats its refusals", func(f *fleet) { f.vms[0].target.SetFaults(target.Faults{ShedShare: 0.5, RepeatShare: 1}) }},
+		{"a target ends in the head of responses", func(f *fleet) { f.vms[0].target.SetFaults(target.Faults{TruncateHead: true}) }},
 		{"the store is unavailable", func(f *fleet) { f.store.SetFaults(store.Faults{Outage: true}) }},
 		{"a target leaves", func(f *fleet) { go f.vms[0].announcer.Deregister(context.Background()) }},
 		{"a node leaves", func(f *fleet) {
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -1,10 +1,13 @@
 package store
 
 import (
+	"bytes"
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -25,6 +28,9 @@
 	// LoseResponses is the number of writes that are carried out and then get no
 	// response.
 	LoseResponses int `json:"lose_answers"`
+	// LateMillis delays the next write by that long. It gets no response, and is carried
+	// out if its condition still holds.
+	LateMillis int `json:"late_ms"`
 	// DeleteRecords deletes all records once. The newest value of each key stays.
 	DeleteRecords bool `json:"forget"`
 	// RevertMillis restores the state of that long ago, once. What was written
@@ -123,6 +129,10 @@
 		if losesResponse {
 			s.faults.LoseResponses--
 		}
+		isLate := f.LateMillis > 0 && c.Request().Method == http.MethodPost
+		if isLate {
+			s.faults.LateMillis = 0
+		}
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
 		switch {
@@ -134,6 +144,8 @@
 			return nil
 		case f.Outage:
 			return c.NoContent(http.StatusServiceUnavailable)
+		case isLate:
+			return s.appendLate(c, time.Duration(f.LateMillis)*time.Millisecond)
 		case losesResponse:
 			if err := s.handleAppend(c); err != nil {
 				return err
@@ -144,6 +156,22 @@
 	}
 }
 
+// appendLate carries out a write after a delay and sends no response.
+func (s *Server) appendLate(c echo.Context, delay time.Duration) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes))
+	if err != nil {
+		return err
+	}
+	late := c.Request().Clone(context.Background())
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(delay, func() {
+		// The outcome is told to nobody.
+		_ = s.handleAppend(c.Echo().NewContext(late, httptest.NewRecorder()))
+	})
+	<-c.Request().Context().Done()
+	return nil
+}
+
 // intParam returns a query parameter, or the fallback if it is absent.
 func intParam(c echo.Context, name string, fallback int64) (int64, error) {
 	text := c.QueryParam(name)
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -37,6 +37,11 @@
 	WrongRequestID bool `json:"cross"`
 	// DuplicateResponse sends each response twice on the connection.
 	DuplicateResponse bool `json:"extra"`
+	// RepeatShare is the share of refusals that are sent a second time, when the next
+	// request arrives on the connection. It needs ConnContext.
+	RepeatShare float64 `json:"repeat_share"`
+	// TruncateHead ends responses in the middle of their head.
+	TruncateHead bool `json:"truncate_head"`
 	// Limit is the request limit that all responses name, in requests per second; 0 is
 	// none.
 	Limit float64 `json:"limit"`
@@ -133,6 +138,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	repeatRefusal(r)
 	f := s.currentFaults()
 	s.auditArrival()
 	s.auditIdentity(r)
@@ -160,6 +166,7 @@
 		return
 	}
 	if rand.Float64() < f.ShedShare {
+		noteRefusal(r, f.RepeatShare)
 		s.rejectNotExecuted(w)
 		return
 	}
@@ -227,6 +234,9 @@
 	case f.DuplicateResponse:
 		s.writeResponseTwice(w, body, id)
 		return
+	case f.TruncateHead:
+		writeHalfHead(w, body, id)
+		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if f.Truncate {
@@ -254,6 +264,19 @@
 	}
 }
 
+// writeHalfHead writes the head of a response up to a random byte and closes the
+// connection.
+func writeHalfHead(w http.ResponseWriter, body []byte, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	head := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: standin.%s\r\nContent-Length: %d\r\n\r\n",
+		headerRequestID, id, headerSignature, id, len(body))
+	conn.Write(head[:rand.IntN(len(head))])
+}
+
 // doWork waits for 0.6 to 1.4 times the work time and reports whether the work was done
 // before the deadline.
 func (s *Server) doWork(ctx context.Context, f Faults) bool {
