follower: silent connections to the store are noticed within 1.5 s

Seen by callers (CONFIG, and DENIED for routes that were added): requests ran at the service of an older version long after a newer one had been confirmed, at all nodes.

Cause: each node learns of versions through a read that waits 28 s on one connection. A connection that falls silent without an error delivers nothing, and the read fails 31 s after it began. Gossip helps only if some node has the version, and the connections of all nodes can fall silent together.

Change: waits end in slots that all nodes share, 0.25 s apart in fleets of up to 112 nodes and closer in larger ones, at most 1 s apart for one node. A wait that has no response 1 s after its end counts as silent; the node reads the newest version at once, over a new connection, and gossip spreads it.

The cost is calls to the store: 4 a second for the whole fleet up to 112 nodes, where 48 nodes made 1.7 so far, and as many as before in larger ones.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -15,11 +15,19 @@
 	// Newest returns the newest configuration, or nil if there is none, and the
 	// position from which Next continues.
 	Newest(ctx context.Context) (encoded []byte, position int64, err error)
-	// Next waits for configurations published from a position on. It returns them,
-	// oldest first, and the position from which the next call continues. The list
-	// may be empty. Errors wrap ErrTrimmed if the source no longer holds the
-	// position.
-	Next(ctx context.Context, position int64) (encoded [][]byte, next int64, err error)
+	// Next waits for configurations published from a position on, at most for wait. It
+	// returns them, oldest first, and the position from which the next call continues.
+	// The list is empty if none were published. Errors wrap ErrTrimmed if the source no
+	// longer holds the position.
+	Next(ctx context.Context, position int64, wait time.Duration) (encoded [][]byte, next int64, err error)
+}
+
+// Fleet is the set of nodes that follow the same source and tell each other of newer
+// configurations.
+type Fleet interface {
+	// Place returns the index of the node among the nodes that it knows, in an order that
+	// is the same for all, and their number, which is at least 1.
+	Place() (index, count int)
 }
 
 // ErrTrimmed means that a source no longer holds all configurations that follow a
@@ -39,24 +47,47 @@
 	// has delivered a newer configuration. After that its connection counts as
 	// dead: a connection can stop delivering without an error.
 	supersededGrace = time.Second
+	// waitEndInterval is the time between the ends of two waits of the whole fleet. A
+	// silent connection shows only when a wait ends without a response. The node that
+	// notices it reads the newest configuration over another connection, and the others
+	// learn from that node.
+	waitEndInterval = 250 * time.Millisecond
+	// minPeriod and maxWait limit the time between two ends of a node's waits. minPeriod
+	// is well below the 2.5 s in which a configuration has to become active, since a small
+	// fleet has hardly any other node that would notice a silent connection sooner. The
+	// store allows waits of up to 30 s.
+	minPeriod = time.Second
+	maxWait   = 28 * time.Second
+	// minWait is the shortest wait. A response that comes early would otherwise cost a
+	// second call for the same slot.
+	minWait = 20 * time.Millisecond
+	// silenceGrace is how long after the end of its wait a call to Next may still get a
+	// response. After that its connection counts as silent.
+	silenceGrace = time.Second
 )
 
-// errSuperseded is the cause with which a call to Next is cancelled.
-var errSuperseded = errors.New("another node delivered a newer configuration than the source")
+// Causes with which a call to Next is cancelled.
+var (
+	errSuperseded = errors.New("another node delivered a newer configuration than the source")
+	errSilent     = errors.New("no response by the end of the wait")
+)
 
 // Follower passes the configurations of a source to Current.
 type Follower struct {
 	source  Source
 	current *Current
+	fleet   Fleet
 	logger  hclog.Logger
+	// clock is the time of day, which differs between nodes.
+	clock func() time.Time
 	// respondedAt is when the source last responded, in Unix nanoseconds; zero if it has
 	// not yet.
 	respondedAt atomic.Int64
 }
 
 // New returns a Follower that passes the configurations of s to c.
-func New(s Source, c *Current, logger hclog.Logger) *Follower {
-	return &Follower{source: s, current: c, logger: logger}
+func New(s Source, c *Current, f Fleet, logger hclog.Logger) *Follower {
+	return &Follower{source: s, current: c, fleet: f, logger: logger, clock: time.Now}
 }
 
 // RespondedAt returns when the source last responded to a call, or the zero time. A call
@@ -76,7 +107,7 @@
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		calledAt := time.Now()
-		next, received, err := f.poll(ctx, position)
+		next, received, err := f.poll(ctx, position, f.nextWait(f.clock()))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -91,6 +122,11 @@
 			// The next call is Newest, which does not wait for a change and so
 			// shows soon whether the store responds again.
 			position = -1
+			if backoff == 0 && time.Since(calledAt) >= silenceGrace {
+				// The connection has been silent for as long already.
+				backoff = minBackoff
+				continue
+			}
 			backoff = min(maxBackoff, max(minBackoff, 2*backoff))
 			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(backoff)))
 			continue
@@ -107,10 +143,25 @@
 	}
 }
 
+// nextWait returns how long the next call to Next waits: until the node's own slot in a
+// period that all nodes share. The slots are spread evenly, so that a wait of some node
+// ends every waitEndInterval, also when all nodes begin to wait at once, after a change.
+// Nodes whose clocks differ have other slots than intended, but no node misses its own.
+func (f *Follower) nextWait(now time.Time) time.Duration {
+	index, count := f.fleet.Place()
+	period := min(maxWait, max(minPeriod, time.Duration(count)*waitEndInterval))
+	slot := period * time.Duration(2*index+1) / time.Duration(2*count)
+	wait := slot - time.Duration(now.UnixNano()%int64(period))
+	if wait < minWait {
+		wait += period
+	}
+	return wait
+}
+
 // poll makes one call to the source and offers what it returns to Current: Newest
 // if the position is negative, otherwise Next. It returns the position for the next
 // call, and whether Next returned any configuration.
-func (f *Follower) poll(ctx context.Context, position int64) (next int64, received bool, err error) {
+func (f *Follower) poll(ctx context.Context, position int64, wait time.Duration) (next int64, received bool, err error) {
 	if position < 0 {
 		encoded, next, err := f.source.Newest(ctx)
 		if err == nil && encoded != nil {
@@ -121,7 +172,9 @@
 	waitCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelIfSuperseded(waitCtx, cancel)
-	list, next, err := f.source.Next(waitCtx, position)
+	silenceTimer := time.AfterFunc(wait+silenceGrace, func() { cancel(errSilent) })
+	defer silenceTimer.Stop()
+	list, next, err := f.source.Next(waitCtx, position, wait)
 	if err != nil {
 		return position, false, err
 	}
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -151,3 +151,15 @@
 	}
 	return v.sorted
 }
+
+// Place returns the index of the node's own record in Nodes, and the number of records. A
+// node that has left counts as the first of one.
+func (v *View) Place() (index, count int) {
+	nodes := v.Nodes()
+	self := v.Self().ControlAddress
+	i, ok := slices.BinarySearchFunc(nodes, self, func(r Record, address string) int { return strings.Compare(r.ControlAddress, address) })
+	if !ok {
+		return 0, max(1, len(nodes))
+	}
+	return i, len(nodes)
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -121,11 +121,11 @@
 func (n *Node) start(ctx context.Context) error {
 	s := n.settings
 	n.configuration = follower.NewCurrent(n.platform.DecodeConfiguration, n.logger.Named("configuration"))
-	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.logger.Named("configuration"))
 	n.view = membership.NewView(membership.Record{
 		ControlAddress: cmp.Or(s.AdvertisedControl, s.Control), GateAddress: cmp.Or(s.AdvertisedGate, s.Gate), Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: time.Now().UnixMilli(),
 	})
+	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.view, n.logger.Named("configuration"))
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
