peerrpc: a call on a connection that has fallen silent is repeated on a new one

After the connections between nodes have fallen silent, each comparison with another node took its whole second and failed, once for each peer, so that word of a version that one node had read spread late.

Cause: a call waited for its deadline on the pooled connection.

Change: a call on a reused connection that has no reply after 0.4 s closes it and is repeated on a new one. Each attempt has a reply of its own, since a late one may still be decoded. Calls with shorter deadlines (quotas) are not repeated.

--- a/connection/peerrpc/pool.go
+++ b/connection/peerrpc/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -51,33 +52,48 @@
 	return p, p.close
 }
 
+// silenceTimeout is how long a call on a reused connection may get no reply before the
+// connection counts as silent. A reply takes 60 ms between regions.
+const silenceTimeout = 400 * time.Millisecond
+
 // Call calls a method of the peer at address and stores the result in reply. ctx
-// must carry a deadline. If a reused connection turns out to be broken, the call
-// is retried on a new one, so methods must be idempotent.
+// must carry a deadline. If a reused connection turns out to be broken or silent, the
+// call is retried on a new one, so methods that are called with more than silenceTimeout
+// must be idempotent, and others must bear a call that is repeated after a broken
+// connection.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	for {
 		c, isReused, err := p.clientFor(ctx, address)
 		if err != nil {
 			return err
 		}
-		err = p.call(ctx, c, address, method, args, reply)
+		err = p.call(ctx, c, isReused, address, method, args, reply)
 		if !isReused || ctx.Err() != nil || !errors.Is(err, ErrNoReply) {
 			return err
 		}
 	}
 }
 
-// call makes one attempt on c. It removes c from the pool if the call times out or
-// the connection fails.
-func (p *Pool) call(ctx context.Context, c *rpc.Client, address, method string, args, reply any) error {
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+// call makes one attempt on c and sets reply if it succeeds. It removes c from the pool if the call times out or
+// the connection fails or is silent.
+func (p *Pool) call(ctx context.Context, c *rpc.Client, isReused bool, address, method string, args, reply any) error {
+	attemptCtx := ctx
+	if isReused {
+		var cancel context.CancelFunc
+		attemptCtx, cancel = context.WithTimeout(ctx, silenceTimeout)
+		defer cancel()
+	}
+	// The reply of an attempt that is given up may still be decoded while the next one runs.
+	attemptReply := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, attemptReply.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-	case <-ctx.Done():
+	case <-attemptCtx.Done():
 		p.remove(address, c)
 		return errors.Wrap(ErrNoReply, method)
 	}
 	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(attemptReply.Elem())
 		return nil
 	}
 	var remote rpc.ServerError
--- /dev/null
+++ b/connection/peerrpc/pool_test.go
@@ -0,0 +1,45 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/standin/link"
+	"github.com/matryer/is"
+)
+
+// Echo is a receiver that replies with its argument.
+type Echo struct{}
+
+func (Echo) Reply(request string, reply *string) error {
+	*reply = request
+	return nil
+}
+
+// A connection can fall silent without an error. A call on it must still get its reply in
+// time, over a new connection, or word of a new configuration is lost with each such call.
+func TestCallOnSilentConnectionIsRepeated(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closeServer, err := Serve(l, map[string]any{"Echo": Echo{}})
+	is.NoErr(err)
+	defer closeServer()
+	k, closeLink, err := link.New("127.0.0.1:0", l.Addr().String())
+	is.NoErr(err)
+	defer closeLink()
+	pool, closePool := NewPool()
+	defer closePool()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var reply string
+		return pool.Call(ctx, k.Address(), "Echo.Reply", "hello", &reply)
+	}
+	is.NoErr(call())
+	k.Silence()
+	is.NoErr(call())
+	is.NoErr(call())
+}
