http1, gate: a request is not sent again over the connection that has carried it

Seen by callers (REFUSED, TWICE): a non-idempotent request was answered 503, which promises that it has not run, and had run; with three attempts it ran twice.

Cause: a request that the target has refused as not executed is sent again with the same id, and the pool hands out the connection that was used last: the same one. If the target repeats the refusal, the copy arrives while the next attempt runs. It bears the right id, so that it is taken for the response.

The log line for such a request goes, since there is none any more.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"runtime"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -45,9 +44,6 @@
 	// framingShare bounds the bytes of a chunked body's framing and trailer, as a
 	// multiple of its longest content.
 	framingShare = 1
-	// maxServedIDs is how many earlier requests of a connection are remembered,
-	// so that late responses to them are recognised.
-	maxServedIDs = 4
 )
 
 // IDFunc returns the request ID that a response header contains, or "".
@@ -94,18 +90,11 @@
 	if writeErr := <-bodyWritten; writeErr != nil {
 		reusable = false
 	}
-	c.servedIDs = append(c.servedIDs, r.ID)
-	if len(c.servedIDs) > maxServedIDs {
-		c.servedIDs = c.servedIDs[1:]
-	}
+	c.served.add(r.ID)
 	c.reusable = reusable && stop()
 	return res, nil
 }
 
-// HasCarried reports whether the connection has carried a request with the ID lately. A
-// late response to that one cannot be told from the response to another with the same ID.
-func (c *Conn) HasCarried(id string) bool { return id != "" && slices.Contains(c.servedIDs, id) }
-
 // awaitContinue waits for a 100 response. Any other response is the final one,
 // with which the peer refuses the request.
 func (c *Conn) awaitContinue(ctx context.Context, r Request, responseID IDFunc) (final *Response, reusable bool, err error) {
@@ -179,7 +168,7 @@
 		gotID := responseID(hr.Header)
 		if gotID != r.ID && (gotID != "" || r.RequireID) {
 			memory.release()
-			if delimited && slices.Contains(c.servedIDs, gotID) {
+			if delimited && c.served.contains(gotID) {
 				skippedLate++
 				continue
 			}
--- a/connection/http1/fuzz_test.go
+++ b/connection/http1/fuzz_test.go
@@ -32,7 +32,8 @@
 		const limit = 1 << 16
 		budget := NewBodyBudget(limit)
 		input := &limitedReader{reader: conn, remaining: unlimited, errExceeded: errResponseTooLarge}
-		c := &Conn{conn: conn, input: input, reader: bufio.NewReaderSize(input, bufferSize), bodies: budget, servedIDs: []string{"0"}}
+		c := &Conn{conn: conn, input: input, reader: bufio.NewReaderSize(input, bufferSize), bodies: budget}
+		c.served.add("0")
 		res, reusable, err := c.readResponse(t.Context(), Request{Method: http.MethodGet, ID: "1", RequireID: true}, idOf)
 		if err != nil {
 			if budget.Used() != 0 {
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -82,9 +82,9 @@
 	// idleSince and usableUntil limit how long an idle connection may be reused.
 	idleSince   time.Time
 	usableUntil time.Time
-	// servedIDs are the IDs of the last requests, by which a late response to one
-	// of them is recognised.
-	servedIDs []string
+	// served holds the IDs of the last requests, by which a late response to one of them
+	// is recognised.
+	served idHistory
 	// reusable means that the connection can carry another request.
 	reusable bool
 	// Reused reports whether the connection has carried a request before.
@@ -95,9 +95,16 @@
 // if that has been idle for less than maxIdle; with zero it always opens a new
 // one. Errors wrap ErrNotSent.
 func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+	return p.GetFor(ctx, maxIdle, "")
+}
+
+// GetFor is Get for the request with an ID. It returns no connection that has carried a
+// request with this ID: a late second response to that one could not be told from the
+// response to this one.
+func (p *Pool) GetFor(ctx context.Context, maxIdle time.Duration, id string) (*Conn, error) {
 	now := time.Now()
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -132,17 +139,18 @@
 	return slices.ContainsFunc(p.idle, (*Conn).isIdle)
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle() *Conn {
+// popIdle removes and returns the most recently used idle connection that has not carried
+// a request with the ID, or nil.
+func (p *Pool) popIdle(id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.served.contains(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -1,7 +1,9 @@
 package http1
 
 import (
+	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -39,3 +41,46 @@
 	}
 	is.True(!sendRequest(time.Minute)) // closed by the peer
 }
+
+// Guards against a request that is sent again over the connection that has carried it, where
+// a second response to the first attempt would be taken for the response to the next one.
+func TestConnectionIsNotReusedForTheSameRequest(t *testing.T) {
+	is := is.New(t)
+	l := listen(t, func(context.Context, *IncomingRequest) *Response {
+		return &Response{Status: http.StatusOK, Header: http.Header{}}
+	})
+	pool, closePool := NewPool(l.Address(), time.Second)
+	defer closePool()
+	// send sends a request and reports whether it went over a connection that had carried
+	// another one.
+	send := func(id string) (reused bool) {
+		conn, err := pool.GetFor(t.Context(), time.Minute, id)
+		is.NoErr(err)
+		defer pool.Put(conn)
+		_, err = conn.Do(t.Context(), Request{Method: http.MethodGet, URI: "/", Host: "h", ID: id}, func(http.Header) string { return "" }, nil)
+		is.NoErr(err)
+		return conn.Reused
+	}
+	for _, step := range []struct {
+		id     string
+		reused bool
+	}{
+		{"a", false}, {"b", true}, {"a", false}, // two connections have carried a now
+		{"a", false}, {"b", true}, {"", true}, {"", true},
+	} {
+		is.Equal(send(step.id), step.reused)
+	}
+}
+
+// Guards against IDs that are forgotten too early or kept without bound.
+func TestIDHistory(t *testing.T) {
+	is := is.New(t)
+	var h idHistory
+	for i := range 3 * maxServedIDs {
+		h.add(strconv.Itoa(i))
+		is.True(h.contains(strconv.Itoa(max(0, i-maxServedIDs+1))))
+		is.True(i < maxServedIDs || !h.contains(strconv.Itoa(i-maxServedIDs)))
+		is.True(len(h.hashes) <= maxServedIDs)
+	}
+	is.True(!h.contains(""))
+}
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -158,7 +158,7 @@
 	if req.Idempotent {
 		maxIdle = maxIdleIdempotent
 	}
-	conn, err := g.targetConns.Get(ctx, maxIdle)
+	conn, err := g.targetConns.GetFor(ctx, maxIdle, id)
 	if err != nil {
 		if http1.IsRefused(err) {
 			g.confirmCrash()
@@ -166,9 +166,6 @@
 		return nil, resultLost, outcome.Refused(outcome.CodeUnreachable, "connect to the target: %v", err)
 	}
 	defer g.targetConns.Put(conn)
-	if conn.HasCarried(id) {
-		g.options.Logger.Info("request sent again over the connection that has carried it", "request", id, "instance", gr.instance)
-	}
 	h := http1.CopyEndToEnd(in.Header)
 	g.options.Headers.SetTargetHeaders(h, metadata.TargetRequest{
 		ID: id, Deadline: deadline, Instance: gr.instance, CallerService: req.CallerService, Customer: req.Customer,
