gate: a status of the target promises "not run" only if the target says so

Seen: none by callers on record; found while looking for refusals whose promise is not certain (REFUSED). A target's own 503, 429 or 408 reached the caller, who takes these for the promise that the request has not run.

Cause: only the field with which a target says that it did not run a request was read; without it, each response was passed on with its status.

Change: such a response becomes a failure, 502 with the code refusal_unconfirmed, and counts as an error of the target; an idempotent request goes to another target. The reverse contradiction, a success with the field, is a failure as well.

Result: TestStatusWithoutNotExecutedIsNoPromise failed for 3 of 3 statuses and passes.

--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -380,11 +380,19 @@
 // Guards against a response that passes on a status which promises that the request has not
 // run, although the target does not say so.
 func TestStatusWithoutNotExecutedIsNoPromise(t *testing.T) {
-	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+	notRun := http.Header{"Not-Run": {"1"}}
+	for _, test := range []struct {
+		status int
+		header http.Header
+	}{
+		{http.StatusRequestTimeout, http.Header{}}, {http.StatusTooManyRequests, http.Header{}}, {http.StatusServiceUnavailable, http.Header{}},
+		{http.StatusOK, notRun},
+	} {
+		status := test.status
 		t.Run(http.StatusText(status), func(t *testing.T) {
 			is := is.New(t)
 			g := openGate(t)
-			response := http1.Response{Status: status, Header: http.Header{}}
+			response := http1.Response{Status: status, Header: test.header}
 			resp, _, p := g.classifyResponse(&response, notRunHeaders{}.ParseTargetHeaders(status, response.Header))
 			is.True(resp == nil)
 			is.True(p != nil)
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -223,12 +223,16 @@
 	case resp.Status == http.StatusMisdirectedRequest:
 		g.resetTarget()
 		return nil, resultInconclusive, outcome.Refused(outcome.CodeMisdirected, "another target has the address")
+	case signals.NotRun && resp.Status < http.StatusBadRequest:
+		return nil, resultError, outcome.Failed(outcome.CodeRefusalUnconfirmed, "status %d says that the target ran it, and a field that it did not", resp.Status)
 	case signals.NotRun && resp.Status == http.StatusBadRequest:
 		return resp, resultInconclusive, nil
 	case signals.NotRun:
 		// A shed request is not lost, so shedding does not make the target
 		// suspected.
 		return nil, resultShed, outcome.Refused(outcome.CodeShed, "the target did not run it: status %d", resp.Status)
+	case outcome.PromisesNotRun(resp.Status):
+		return nil, resultError, outcome.Failed(outcome.CodeRefusalUnconfirmed, "status %d of the target, which does not say that it did not run it", resp.Status)
 	case resp.Status < http.StatusMultipleChoices && !signals.Signed:
 		return nil, resultLost, outcome.Failed(outcome.CodeResponseUnsigned, "the answer bears no proof of the target")
 	case resp.Status >= http.StatusInternalServerError:
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -85,6 +85,9 @@
 	// CodeResponseUnsigned means that a successful response lacks the target's
 	// proof of origin.
 	CodeResponseUnsigned Code = "answer_unsigned"
+	// CodeRefusalUnconfirmed means that the target's status says that the request was not
+	// run, but the target does not confirm it.
+	CodeRefusalUnconfirmed Code = "refusal_unconfirmed"
 	// CodeNoMemory means that the node has no memory left for the response. As the code of
 	// a refusal, it means that there is none for the request's body.
 	CodeNoMemory Code = "no_memory"
@@ -132,6 +135,16 @@
 	return &Problem{Outcome: Unknown, Code: code, Status: status, Detail: fmt.Sprintf(format, args...)}
 }
 
+// PromisesNotRun reports whether callers take a status as the promise that the request has
+// not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // statusOf returns the status that callers get. 503 and 429 guarantee that the request
 // was not run; 502 and 504 guarantee nothing.
 func statusOf(code Code) int {
@@ -148,7 +161,7 @@
 		return http.StatusRequestEntityTooLarge
 	case CodeTimeout:
 		return http.StatusGatewayTimeout
-	case CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeGateConnectionLost:
+	case CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeRefusalUnconfirmed, CodeGateConnectionLost:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
