publish: a write is conditional on the version that it builds on

Seen by callers (CONFIG): after a restart of the nodes, requests ran at the service of an older version, for good, although a newer one had been confirmed ("came back older").

Cause: "cuminwheel publish" read the newest version, compared, and wrote without a condition. A write without a response may be carried out seconds later, and another operator may write between the read and the write; both replaced the newer version.

Change: Store.PutAt writes only if the topic ends where the read said (as_of). After a conflict the command reads again and compares again.

The records of nodes are still written without a condition: a late one may leave the record of a node that has left, or remove that of one that is back. Other nodes and the next start of the node correct the second; the first costs attempts to reach it.

--- a/cmd/cuminwheel/publish.go
+++ b/cmd/cuminwheel/publish.go
@@ -85,7 +85,7 @@
 			fmt.Fprintf(c.Root().Writer, "published: version %d\n", d.Version)
 			return nil
 		}
-		retryable := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNoResponse)
+		retryable := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNoResponse) || errors.Is(err, platform.ErrConflict)
 		if !retryable || time.Now().After(deadline) || ctx.Err() != nil {
 			return err
 		}
@@ -95,9 +95,11 @@
 
 // publish writes the configuration unless the store has its version or a later
 // one. It succeeds if the store already has this very configuration: an earlier
-// attempt that got no response may have taken effect.
+// attempt that got no response may have taken effect. The write is conditional on what
+// was read, so that neither a late write nor one of another operator is lost or replaces
+// a later version.
 func publish(ctx context.Context, store *platform.Store, version uint64, encoded []byte) error {
-	newest, _, err := platform.NewConfigurationSource(store).Newest(ctx)
+	newest, end, err := platform.NewConfigurationSource(store).Newest(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the newest configuration")
 	}
@@ -113,5 +115,5 @@
 				"not published: the store has version %d; base the change on it and publish a higher version", current.Version)}
 		}
 	}
-	return store.Put(ctx, platform.ConfigurationTopic, platform.ConfigurationKey, encoded)
+	return store.PutAt(ctx, platform.ConfigurationTopic, platform.ConfigurationKey, encoded, end)
 }
