entry: the refusal of one request is given to an equal one only if it concerns the service

Seen by callers (DENIED): 401 for a valid key, while another key of the same customer was removed.

Cause: with the shared scheduling the entry remembers refusals by customer and content, so that a request which returns too early gets its refusal again. Only some codes were left out. The 401 of a request whose key was removed while it waited was remembered too, and given to equal requests with a key that is valid.

Change: a refusal is remembered only if its code says something about the targets of the service; the codes are listed, in place of those that are left out.

--- a/process/entry/shared.go
+++ b/process/entry/shared.go
@@ -182,7 +182,8 @@
 }
 
 // promiseRetry sets the retry time of a refusal and remembers it. Problems after which the
-// target may have run the request, and those that do not come from load, stay as they are.
+// target may have run the request, and those that do not concern the service, stay as they
+// are: an equal request, with another key of the customer, need not be refused.
 // The end of ctx means that the caller has left, the node shuts down or the deadline has
 // passed, so that a return would say nothing about callers.
 func (e *Entry) promiseRetry(ctx context.Context, s *dispatchState, p *outcome.Problem) *outcome.Problem {
@@ -191,7 +192,7 @@
 		e.refusals.forget(c.fingerprint)
 		return p
 	}
-	if p.Code == outcome.CodeQuarantined || p.Code == outcome.CodeCallerDisconnected || ctx.Err() != nil || !now.Before(c.deadline) {
+	if !p.Code.ConcernsService() || ctx.Err() != nil || !now.Before(c.deadline) {
 		e.recordRefused(s, p.Code, p.RetryAt, now)
 		return p
 	}
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -70,6 +70,18 @@
 	CodeCallerDisconnected Code = "caller_gone"
 )
 
+// ConcernsService reports whether a refusal with the code says something about the targets of
+// the service, so that an equal request would be refused as well. The others concern one
+// request, its caller or its key.
+func (c Code) ConcernsService() bool {
+	switch c {
+	case CodeNoTarget, CodeDraining, CodeTargetSuspected, CodeTargetFull, CodeTargetLimited, CodeRetryBudget, CodeShed, CodeMisdirected,
+		CodeUnreachable, CodeNoMemory:
+		return true
+	}
+	return false
+}
+
 // Codes of failures: the outcome is unknown.
 const (
 	// CodeTimeout means that no response came before the deadline or before the
