entry: a node that knows that it is behind rejects no route or key for good

Seen by callers (DENIED, CONFIG): 404 for a route that had been added. Callers do not retry a 404.

Cause: an entry that had heard of a newer configuration waited for it if the key was unknown, but not if the route was; and if the configuration did not come within a second, it answered 401 although it could not know.

Change: both wait, and both are refused with 503 and Retry-After if the configuration does not come. TestUnknownKeyWaitsForNewerConfiguration expected 401 in that case: a node that knows a newer version exists cannot tell whether the key is in it, and a 401 for a key in force is what the rule forbids.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -200,9 +200,9 @@
 		resp = problem.ToResponse(c.id, now)
 	}
 	e.options.Meter.RecordEntryRequest(c.route.Name, code, now.Sub(in.ReceivedAt))
-	if code == outcome.CodeNoRoute && e.isOutdated(c.configurationVersion) {
-		e.options.Logger.Warn("request without a route while a newer configuration is known", "request", c.id,
-			"configuration", c.configurationVersion, "known_version", e.options.KnownVersion())
+	if code == outcome.CodeNotReady && c.configurationVersion > 0 {
+		e.options.Logger.Warn("request refused until a newer configuration arrives", "request", c.id, "configuration", c.configurationVersion,
+			"known_version", e.options.KnownVersion(), "reason", problem.Detail)
 	}
 	e.options.Logger.Info("request ended", "request", c.id, "route", c.route.Name, "service", c.service, "customer", c.customer.Name,
 		"configuration", c.configurationVersion, "fingerprint", c.fingerprint, "status", resp.Status, "code", code, "asked", attempts,
--- a/process/entry/explain.go
+++ b/process/entry/explain.go
@@ -34,8 +34,8 @@
 		problem = outcome.Refused(outcome.CodeBodyTooLarge, "the body has more than %d bytes", limit)
 	}
 	if problem != nil {
-		if problem.Code == outcome.CodeUnauthorized && c.key != "" && e.isOutdated(current.Version) {
-			x.Notes = append(x.Notes, fmt.Sprintf("the entry would first wait up to %v for a newer configuration", newKeyWait))
+		if e.mayBeResolvedLater(c, problem, current.Version) {
+			x.Notes = append(x.Notes, fmt.Sprintf("the entry would first wait up to %v for a newer configuration, and refuse with 503 if it does not come", newVersionWait))
 		}
 		x.Refusal = explainRefusal(problem, now)
 		return x
