gate, entry, node: a leaving node passes on only what its targets can complete

With a grace period of less than 3.5 s the node outlived it, so that the platform would have killed it.

Cause: a leaving node takes requests for 3 s, whatever its grace period is. It gives targets no more time than it has, but only its own gate refused what takes longer; the gates of other nodes took the shorter deadline for that of the caller.

Change: the entry says when the deadline is the end of its node, and a gate refuses such a request at once if its target may need longer, by the measure with which it tells stalled requests. Callers are served for half of the grace period at most.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -68,6 +68,9 @@
 	SoftDeadline time.Time
 	// Deadline is when the response must have arrived.
 	Deadline time.Time
+	// EntryLeaves means that the entry's node stops at Deadline, so that a request that is
+	// not expected to end before would be cut.
+	EntryLeaves bool
 	// QueueDeadline is when the request must have been granted a slot.
 	QueueDeadline time.Time
 	// Notice is what the entry remembers of the gate's target, if that restricts it.
@@ -89,7 +92,7 @@
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{"q", r.IsStateQuery}, {"i", r.Idempotent}, {"r", r.IsRetry}, {"k", r.RetryCharged}, {"f", r.CanRetry}} {
+	}{{"q", r.IsStateQuery}, {"i", r.Idempotent}, {"r", r.IsRetry}, {"k", r.RetryCharged}, {"f", r.CanRetry}, {"l", r.EntryLeaves}} {
 		if f.set {
 			b.WriteString(";" + f.name + "=1")
 		}
@@ -129,7 +132,7 @@
 	}
 	return Request{
 		Service: params["s"], CallerService: params["c"], Priority: priority, RouteHash: uint32(routeHash),
-		IsStateQuery: params["q"] != "", Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "",
+		IsStateQuery: params["q"] != "", Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "", EntryLeaves: params["l"] != "",
 		SoftDeadline:  arrived.Add(time.Duration(softMillis) * time.Millisecond),
 		Deadline:      arrived.Add(time.Duration(deadlineMillis) * time.Millisecond),
 		QueueDeadline: arrived.Add(time.Duration(queueMillis) * time.Millisecond),
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -196,7 +196,7 @@
 		RouteHash: routeHash(c.route),
 		Priority:  c.route.Priority, IsRetry: s.isRetry(), RetryCharged: s.usesChargedRetry(),
 		Customer: c.customer.Name, CustomerPriority: c.customer.Priority,
-		SoftDeadline: c.softDeadline(), Deadline: c.deadline, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
+		SoftDeadline: c.softDeadline(), Deadline: c.deadline, EntryLeaves: c.isCutByShutdown, QueueDeadline: now.Add(p.queueTimeout(c.targetLatency(), c.deadline.Sub(now))),
 	}
 	outgoing.Notice = to.notices.recall(to.address, now)
 	outgoing.CanRetry = c.route.Idempotent && s.targetAttempts+s.inFlight < c.route.MaxAttempts
--- a/process/entry/dispatch_state.go
+++ b/process/entry/dispatch_state.go
@@ -154,6 +154,10 @@
 	if p.Code == outcome.CodeRetryBudget {
 		s.retryBudgetRefusals++
 	}
+	if p.Code == outcome.CodeDeadlineExceeded {
+		// Another target would need as long.
+		return false
+	}
 	return p.Code != outcome.CodeQuarantined && p.Code != outcome.CodeUnauthorized && s.targetAttempts+s.inFlight < s.call.route.MaxAttempts && s.retryBudgetRefusals < maxRetryBudgetRefusals
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -139,6 +139,8 @@
 	route                configuration.Route
 	service              string
 	deadline             time.Time
+	// isCutByShutdown means that the deadline is that of the node, which is leaving.
+	isCutByShutdown bool
 	// key is the caller's key. It must not be logged or forwarded.
 	key string
 	// customer is that of the key; its name is empty if the request needs no key.
@@ -242,7 +244,7 @@
 	// A request that outlives this node would be cut off, so the target gets an
 	// earlier deadline.
 	if shutdownAt := e.options.ShutdownDeadline(); !shutdownAt.IsZero() && shutdownAt.Add(-relayMargin).Before(c.deadline) {
-		c.deadline = shutdownAt.Add(-relayMargin)
+		c.deadline, c.isCutByShutdown = shutdownAt.Add(-relayMargin), true
 	}
 }
 
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -24,6 +24,8 @@
 		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
 	case !now.Before(req.Deadline):
 		return outcome.Refused(outcome.CodeDeadlineExceeded, "the deadline has passed")
+	case req.EntryLeaves && now.Add(g.target.durations.stallLimit(req.RouteHash, g.target.durations.all)).After(req.Deadline):
+		return outcome.Refused(outcome.CodeDeadlineExceeded, "the caller's node stops before the target could respond")
 	case !g.canFinish(req, now):
 		return outcome.Refused(outcome.CodeDraining, "the node is leaving")
 	case req.IsRetry && !req.RetryCharged && !g.retryBudget.canWithdraw(now, req.Priority):
--- a/process/gate/durations.go
+++ b/process/gate/durations.go
@@ -80,12 +80,13 @@
 	return d.all
 }
 
-// stallLimit returns the duration from which a request of the route counts as
-// stalled: targetLatency for a route without measured requests.
-func (d *durations) stallLimit(routeHash uint32, targetLatency time.Duration) time.Duration {
+// stallLimit returns the duration from which a request of the route counts as stalled, that
+// is, within which nearly all requests of a healthy target end: unmeasured for a route
+// without measured requests.
+func (d *durations) stallLimit(routeHash uint32, unmeasured time.Duration) time.Duration {
 	r, isKnown := d.byRoute[routeHash]
 	if !isKnown {
-		return targetLatency
+		return unmeasured
 	}
 	deviations := stallDeviations + shortHistoryDeviations/float64(r.count)
 	deviation := max(float64(r.deviation), minDeviationShare*float64(r.mean))
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -10,6 +10,9 @@
 	// reports that it isn't ready: the platform checks each second and acts on two
 	// failed checks.
 	callerDrainTime = 3 * time.Second
+	// callerDrainShare bounds that time as a share of the grace period: the requests that
+	// come last must still be served.
+	callerDrainShare = 0.5
 	// drainPollInterval is how often a leaving node checks whether requests are in
 	// progress.
 	drainPollInterval = 50 * time.Millisecond
@@ -40,7 +43,8 @@
 	isIdle := func() bool {
 		return n.entryListener.InFlight() == 0 && n.gateListener.InFlight() == 0 && n.gate.InFlight() == 0
 	}
-	sleep(ctx, time.Until(start.Add(callerDrainTime)))
+	drainTime := min(callerDrainTime, time.Duration(callerDrainShare*float64(n.settings.GracePeriod)))
+	sleep(ctx, time.Until(start.Add(drainTime)))
 	// If too few other nodes are ready, callers keep sending requests. These could
 	// no longer be served before the deadline.
 	n.entryListener.Stop()
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -233,13 +233,18 @@
 
 // loadFor is load for another duration.
 func (f *fleet) loadFor(length time.Duration, entries []*vm, during func()) caller.Report {
+	return f.loadAt(ratePerEntry, length, entries, during)
+}
+
+// loadAt is loadFor at another rate.
+func (f *fleet) loadAt(rate float64, length time.Duration, entries []*vm, during func()) caller.Report {
 	var addresses []string
 	for _, v := range entries {
 		addresses = append(addresses, v.settings.Entry)
 	}
 	l, closeLoad := caller.New(caller.Workload{
 		Entries: addresses, Host: "h", Paths: []string{"/read/a"}, ClaimPaths: []string{"/claim/a"}, ClaimShare: 0.5,
-		Rate: ratePerEntry * float64(len(entries)), Until: time.Now().Add(length), Timeout: 1500 * time.Millisecond, MaxInFlight: 200, Seed: 1,
+		Rate: rate * float64(len(entries)), Until: time.Now().Add(length), Timeout: 1500 * time.Millisecond, MaxInFlight: 200, Seed: 1,
 	})
 	defer closeLoad()
 	done := make(chan caller.Report, 1)
@@ -472,3 +477,47 @@
 		f.awaitStatus(v, `"configuration_version":4,"nodes":3`)
 	}
 }
+
+// Guards against requests that a leaving node takes late and passes on, although their
+// targets cannot complete them before the node ends: they would be cut, and some of them
+// must not be sent again. Work takes 0.4 to 1 s here.
+func TestLeavingPassesOnOnlyWhatCanFinish(t *testing.T) {
+	for _, grace := range []time.Duration{4 * time.Second, 2500 * time.Millisecond} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 4)
+			f.publish(1)
+			for _, v := range f.vms {
+				f.awaitStatus(v, `"nodes":4,"gate_open":true`)
+				v.target.SetFaults(target.Faults{SlowFactor: 70})
+			}
+			leaving := f.vms[0]
+			leaving.leave(cancelled())
+			leaving.settings.GracePeriod = grace
+			f.startNode(leaving)
+			f.awaitStatus(leaving, `"nodes":4,"gate_open":true`)
+			var took time.Duration
+			r := f.loadAt(8, 5*time.Second+grace, f.vms[:1], func() {
+				time.Sleep(4 * time.Second) // the gates learn how long requests take
+				startedAt := time.Now()
+				leaving.leave(context.Background())
+				took = time.Since(startedAt)
+			})
+			t.Logf("left after %v: %+v", took, r)
+			is.True(took < grace)
+			is.True(r.IsCorrect())
+			is.True(r.Answered > 0)
+			is.Equal(r.Errors, 0) // targets that gave up at the deadline
+			is.Equal(r.Unknown, 0)
+			is.Equal(r.RanWithoutResponse, 0)
+		})
+	}
+}
+
+// cancelled returns a context that has ended, with which a node stops at once.
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
