http1: a test that a response cut at any byte of its head is none

Other operators saw a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head (MIXED, ORDER).

--- /dev/null
+++ b/connection/http1/cut_test.go
@@ -0,0 +1,84 @@
+package http1
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveCut serves connections: it reads a request, writes the next response and closes the
+// connection, in an orderly way or with a reset.
+func serveCut(t *testing.T, responses <-chan string, reset bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn.Read(make([]byte, 4096))
+			conn.Write([]byte(<-responses))
+			if reset {
+				// The peer reads the bytes before the reset arrives.
+				time.Sleep(20 * time.Millisecond)
+				conn.(*net.TCPConn).SetLinger(0)
+			}
+			conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a response that is passed on as complete although the target closed the
+// connection in the middle of it: at any byte of its head, and of a body with a length or in
+// chunks. A body without a length ends with the connection, but not with a reset.
+func TestCutResponseIsNoResponse(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n"
+	tests := []struct {
+		name, head, body string
+		reset            bool
+		// complete means that the body may end anywhere.
+		complete bool
+	}{
+		{"length", status + "Content-Length: 12\r\n\r\n", "hello, world", false, false},
+		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n", false, false},
+		{"no length", status + "Connection: close\r\n\r\n", "hello, world", false, true},
+		{"no length, reset", status + "Connection: close\r\n\r\n", "hello, world", true, false},
+		{"folded field", status + "A: b\r\n c\r\nConnection: close\r\n\r\n", "hello, world", false, true},
+		{"interim response", "HTTP/1.1 102 Processing\r\n\r\n" + status + "Connection: close\r\n\r\n", "hello, world", false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			full := test.head + test.body
+			responses := make(chan string, 1)
+			pool, closePool := NewPool(serveCut(t, responses, test.reset), time.Second)
+			defer closePool()
+			for cut := range len(full) {
+				responses <- full[:cut]
+				conn, err := pool.Get(t.Context(), 0)
+				is.NoErr(err)
+				res, err := conn.Do(t.Context(), Request{Method: http.MethodGet, URI: "/", Host: "h"}, idOf, nil)
+				pool.Put(conn)
+				if test.complete && cut >= len(test.head) {
+					is.NoErr(err)
+					continue
+				}
+				if err == nil {
+					t.Fatal(fmt.Sprintf("cut after %q: status %d, body %q", strings.ReplaceAll(full[:cut], "\r", ""), res.Status, res.Body))
+				}
+			}
+		})
+	}
+}
