soak: all connections fall silent, targets repeat refusals, and versions are due

The soak played silent links of half of the nodes at most, and checked that versions do not go back, but not when they arrive.

The new faults have random numbers of their own.

--- a/soak/audit.go
+++ b/soak/audit.go
@@ -27,10 +27,13 @@
 	crashThreshold = 3
 )
 
-// affectsNode reports whether a fault keeps its node from hearing of others or makes it
+// affectsNode reports whether a fault keeps a node from hearing of others or makes it
 // forget.
-func (e event) affectsNode() bool {
-	return slices.Contains([]string{faultKill, faultTerminate, faultPause, faultLink, faultReset, faultKillAll}, e.kind)
+func (e event) affectsNode(node int) bool {
+	if e.kind == faultKillAll {
+		return true
+	}
+	return node == e.node && slices.Contains([]string{faultKill, faultTerminate, faultPause, faultLink, faultReset}, e.kind)
 }
 
 // recordFault records that the node of an event is out of touch, or that the store delays
@@ -40,8 +43,15 @@
 	var faults []*[]interval
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if e.kind == faultSilence {
+		// It affects all nodes at this moment only: new connections work.
+		for i := range f.lastFault {
+			f.lastFault[i] = start
+			f.history.nodeFaults[i] = append(f.history.nodeFaults[i], interval{start, start})
+		}
+	}
 	for i := range f.lastFault {
-		if e.affectsNode() && (i == e.node || e.kind == faultKillAll) {
+		if e.affectsNode(i) {
 			f.lastFault[i] = start
 			faults = append(faults, &f.history.nodeFaults[i])
 		}
@@ -61,7 +71,7 @@
 			(*list)[indexes[k]].end = time.Now()
 		}
 		for i := range f.lastFault {
-			if e.affectsNode() && (i == e.node || e.kind == faultKillAll) {
+			if e.affectsNode(i) {
 				f.lastFault[i] = time.Now()
 			}
 		}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -28,5 +28,7 @@
 // phase 5 also cover keys and quotas.
 //
 // During phases 2 to 4 the configuration versions of the nodes are polled: no node
-// may revert to an older version while its process runs.
+// may revert to an older version while its process runs, and each node in touch must have
+// a version 3 s after its publication, also when the connections of all nodes have fallen
+// silent before.
 package soak
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -103,6 +103,16 @@
 		f.gateProxies[e.node].ResetConns()
 		f.controlProxies[e.node].ResetConns()
 		f.storeProxies[e.node].ResetConns()
+	case faultSilence:
+		for _, links := range [][]*link.Link{f.storeProxies, f.controlProxies, f.gateProxies} {
+			for _, l := range links {
+				l.Silence()
+			}
+		}
+		time.Sleep(e.duration)
+		if err := f.publish(ctx); err != nil {
+			f.recordViolation("publish: %v", err)
+		}
 	case faultStore:
 		// The fault of the store itself affects all nodes. For half of them the
 		// proxy to the store gets the link fault as well.
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,7 @@
 	faultRemoveKey = "remove_key"
 	faultAddKey    = "add_key"
 	faultQuota     = "lower_quota"
+	faultSilence   = "silence"
 	// lastFaultMargin is the shortest time between the start of a fault and the end
 	// of the load.
 	lastFaultMargin = 2 * time.Second
@@ -88,7 +89,30 @@
 	if rng.IntN(3) == 0 {
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
-	return insertCustomerChanges(insertNotices(insertReversion(events, seed, duration), seed, nodes, duration), seed, duration)
+	events = insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
+	return insertCustomerChanges(insertIncident(events, seed, nodes, duration), seed, duration)
+}
+
+// insertIncident adds connections of all nodes that fall silent, with a version that is
+// published afterwards, and targets that repeat their refusals or end in the head of their
+// responses. It draws from random numbers of its own, as insertReversion does.
+func insertIncident(events []event, seed uint64, nodes int, duration time.Duration) []event {
+	rng := rand.New(rand.NewPCG(seed, 80))
+	for _, e := range []event{
+		{kind: faultSilence}, {kind: faultTarget, targetFault: `{"shed_share":0.7,"repeat_share":1}`}, {kind: faultTarget, targetFault: `{"truncate_head":true}`},
+	} {
+		if rng.IntN(3) == 0 {
+			continue
+		}
+		e.at, e.node = time.Duration(rng.Int64N(int64(duration-lastFaultMargin))), rng.IntN(nodes)
+		e.duration = time.Duration(200+rng.IntN(2500)) * time.Millisecond
+		if e.kind == faultSilence {
+			// Late, since other faults end the silent connections.
+			e.at = duration - lastFaultMargin - e.at/8
+		}
+		events = insertInOrder(events, e)
+	}
+	return events
 }
 
 // Limits that targets name, in requests per second. The second replaces the first in the
