gate: the slot of a granted request is released at its deadline if the body does not come

Seen: none by callers so far; found while looking for waits on one connection. An entry that vanished silently between the grant and the body kept a slot of the target until the kernel gave up the connection, more than two minutes later.

Cause: the gate waited for the body without a time limit.

Change: it waits until the deadline of the request, past which it would not run it.

Result: TestSlotOfSilentEntryIsReleased failed before and passes; TestWaitForBodyIsNoStall is as strict as before.

--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -79,7 +79,11 @@
 	if p := g.reserveBody(in.UnreadLength); p != nil {
 		return nil, false, p
 	}
-	body, err := in.ReadBody(ctx)
+	// The connection may have fallen silent since the grant. Past its deadline the request
+	// would not be run anyway.
+	bodyCtx, cancel := context.WithDeadline(ctx, req.Deadline)
+	body, err := in.ReadBody(bodyCtx)
+	cancel()
 	g.unreserveBody(in.UnreadLength)
 	if err != nil {
 		return nil, false, outcome.Refused(outcome.CodeCallerDisconnected, "the entry did not go on: %v", err)
--- a/process/gate/stall_test.go
+++ b/process/gate/stall_test.go
@@ -217,22 +217,22 @@
 	return out
 }
 
-// An entry that takes long to send the body of a granted request must not make the
-// target suspected, which does not have the request yet.
-func TestWaitForBodyIsNoStall(t *testing.T) {
+// openGrantedRequest offers a request with a body to the gate over a connection, and reads
+// the grant without sending the body.
+func openGrantedRequest(t *testing.T, g *Gate, softDeadline, deadline time.Duration) {
+	t.Helper()
 	is := is.New(t)
-	g := openGate(t)
 	l, closeListener, err := http1.Listen("127.0.0.1:0", g.Serve, func() http1.Limits {
 		return http1.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 	}, hclog.NewNullLogger())
 	is.NoErr(err)
-	defer closeListener()
+	t.Cleanup(closeListener)
 	conn, err := net.Dial("tcp", l.Address())
 	is.NoErr(err)
-	defer conn.Close()
+	t.Cleanup(func() { conn.Close() })
 	now := time.Now()
 	h := http.Header{}
-	hopheader.Request{Service: "s", SoftDeadline: now.Add(20 * time.Millisecond), Deadline: now.Add(5 * time.Second), QueueDeadline: now}.Inject(h, now)
+	hopheader.Request{Service: "s", SoftDeadline: now.Add(softDeadline), Deadline: now.Add(deadline), QueueDeadline: now}.Inject(h, now)
 	var request strings.Builder
 	request.WriteString("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n")
 	is.NoErr(h.Write(&request))
@@ -242,7 +242,26 @@
 	_, err = io.ReadFull(conn, granted)
 	is.NoErr(err)
 	is.Equal(string(granted), "HTTP/1.1 100")
+}
+
+// An entry that takes long to send the body of a granted request must not make the
+// target suspected, which does not have the request yet.
+func TestWaitForBodyIsNoStall(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	openGrantedRequest(t, g, 20*time.Millisecond, 5*time.Second)
 	time.Sleep(200 * time.Millisecond) // ten times the limit of the route
 	is.Equal(g.InFlight(), 1)
 	is.True(!g.State().Suspected)
 }
+
+// Guards against a slot that is held for minutes, since the connection on which the entry was
+// granted it has fallen silent.
+func TestSlotOfSilentEntryIsReleased(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	openGrantedRequest(t, g, 20*time.Millisecond, 300*time.Millisecond)
+	is.Equal(g.InFlight(), 1)
+	time.Sleep(600 * time.Millisecond)
+	is.Equal(g.InFlight(), 0)
+}
