http1: a body that follows Expect: 100-continue at once is the request's body

Cause: the listener gave the request to its handler before the body and took bytes that arrived before the handler had asked for the body for the next request. That holds between an entry and a gate, where the 100 response is the grant, but not for callers.

Change: the listener for callers reads the body of each request first. It sends the 100 response once earlier responses of the connection are written, and none if the body has begun or is too long. The gate's listener is as before.

--- a/connection/http1/doc.go
+++ b/connection/http1/doc.go
@@ -6,8 +6,8 @@
 // As a server, a Listener reads requests, pipelined ones included, passes each to
 // a Handler as soon as it is read, and writes the responses in the order of the
 // requests. A request's context is cancelled when its connection ends. A request
-// with Expect: 100-continue reaches the handler before its body;
-// IncomingRequest.ReadBody requests the body.
+// with Expect: 100-continue reaches the handler before its body, unless
+// Limits.ReadBodiesFirst is set; IncomingRequest.ReadBody requests the body.
 //
 // A Listener shuts down in steps. After Drain, each connection closes once the
 // requests in progress on it have their responses. After Stop, the listener serves
--- a/connection/http1/listener.go
+++ b/connection/http1/listener.go
@@ -54,6 +54,11 @@
 	IdleTimeout    time.Duration
 	// Bodies is the budget for the bodies of requests; nil sets no limit.
 	Bodies *BodyBudget
+	// ReadBodiesFirst reads the body of each request before the handler is called, also
+	// with Expect: 100-continue. Callers may send it without waiting for the 100 response
+	// (RFC 9110, 10.1.1). Without it, a caller that sends such a body too early has it taken
+	// for its next request.
+	ReadBodiesFirst bool
 }
 
 // IncomingRequest is a request that a Listener received.
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -84,6 +84,9 @@
 	response   chan *Response
 	// memory is the reservation for the request's body; nil if no body is read.
 	memory *reservation
+	// awaitsContinue means that the caller may wait for a 100 response, which is sent when
+	// the responses to earlier requests have been.
+	awaitsContinue bool
 	// hasBegun means that writing the response has begun; writeMu guards it.
 	hasBegun bool
 }
@@ -148,6 +151,7 @@
 		}
 		limited.remaining = unlimited
 		p := &pendingRequest{method: hr.Method, closeAfter: hr.Close, response: make(chan *Response, 1), memory: limits.Bodies.newReservation()}
+		p.awaitsContinue = limits.ReadBodiesFirst && expectsContinue(hr) && br.Buffered() == 0 && hr.ContentLength <= limits.MaxBodyBytes
 		if !c.beginRequest() {
 			if c.inFlightCount() == 0 {
 				return errListenerStopped
@@ -169,15 +173,16 @@
 }
 
 // handleRequest reads the request's body and starts the handler: before the body
-// if the request has Expect: 100-continue, and after it otherwise.
+// if the request has Expect: 100-continue and bodies are not read first, and after it
+// otherwise.
 func (c *serverConn) handleRequest(ctx context.Context, hr *http.Request, br *bufio.Reader, p *pendingRequest, limits Limits) error {
 	in := &IncomingRequest{
 		Method: hr.Method, URI: hr.RequestURI, Host: hr.Host, Path: hr.URL.EscapedPath(),
 		Header: hr.Header, ReceivedAt: time.Now(), body: make(chan bodyResult, 1),
 		sendInterim: func(h http.Header) error { return c.sendInterim(p, h) },
 	}
-	expectsContinue := hr.Header.Get("Expect") != "" && hr.Body != http.NoBody
-	if expectsContinue {
+	holdsBody := expectsContinue(hr) && !limits.ReadBodiesFirst
+	if holdsBody {
 		in.UnreadLength = max(0, hr.ContentLength)
 		var continued atomic.Bool
 		in.sendContinue = sync.OnceValue(func() error { continued.Store(true); return c.sendContinue() })
@@ -203,29 +208,35 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		p.closeAfter = true
-		if !expectsContinue {
+		if !holdsBody {
 			p.response <- TextResponse(http.StatusRequestEntityTooLarge, err.Error())
 			return err
 		}
 		return err
 	case errors.Is(err, ErrBodyMemory):
 		p.closeAfter = true
-		if !expectsContinue {
+		if !holdsBody {
 			p.response <- refuseForMemory()
 		}
 		return err
 	case err != nil:
-		if !expectsContinue {
+		if !holdsBody {
 			p.response <- &Response{Abort: true}
 		}
 		return err
 	}
-	if !expectsContinue {
+	if !holdsBody {
 		c.startHandler(ctx, in, p)
 	}
 	return nil
 }
 
+// expectsContinue reports whether the caller of a request with a body may wait for a 100
+// response before it sends the body.
+func expectsContinue(hr *http.Request) bool {
+	return hr.Header.Get("Expect") != "" && hr.Body != http.NoBody
+}
+
 // startHandler runs the handler in a goroutine and passes its response to p. If the
 // handler panics, the connection is closed without a response, since the request may
 // have been run; all other requests go on.
@@ -324,6 +335,9 @@
 	bw := bufio.NewWriterSize(c.conn, bufferSize)
 	writeFailed := false
 	for p := range c.pipeline {
+		if p.awaitsContinue && !writeFailed {
+			writeFailed = c.sendContinue() != nil
+		}
 		res := <-p.response
 		closeConn := c.shouldClose(p)
 		if !writeFailed {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -248,7 +248,7 @@
 // callerLimits returns the limits for requests of callers.
 func (n *Node) callerLimits() http1.Limits {
 	l := n.configuration.Configuration().Limits()
-	return http1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Bodies: n.bodies}
+	return http1.Limits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Bodies: n.bodies, ReadBodiesFirst: true}
 }
 
 const (
@@ -265,6 +265,8 @@
 	l := n.callerLimits()
 	l.MaxHeaderBytes += maxAddedHeaderBytes
 	l.IdleTimeout = gateIdleTimeout
+	// Entries wait for the grant, which is the 100 response.
+	l.ReadBodiesFirst = false
 	return l
 }
 
