gate: the leave of an incarnation that has not been heard of yet is kept

Cause: a deregistration of an incarnation other than the known one was confirmed and dropped as stale, though its announcements may still be on the way. A late one opened the gate.

Change: an incarnation that started after the known one replaces it, as one that has left. Of one that seems older, which may be a new one whose clock is behind, or whose leave names no start, the leave is remembered, and its announcements are stale.

--- a/process/gate/announcement_test.go
+++ b/process/gate/announcement_test.go
@@ -38,6 +38,11 @@
 		{"next incarnation under the same name", []func(*Gate) error{announce(announcement("i", 1, 9)), deregister(Deregistration{Instance: "i"}), announce(announcement("i", 2, 1))}, nil, true},
 		{"delayed announcement of an old incarnation", []func(*Gate) error{announce(announcement("j", 2, 1)), announce(draining(announcement("i", 1, 9)))}, ErrStale, true},
 		{"delayed deregistration of an old incarnation", []func(*Gate) error{announce(announcement("j", 2, 1)), deregister(Deregistration{Instance: "i", StartedAt: time.UnixMilli(1)})}, ErrStale, true},
+		{"deregistration of a newer incarnation before its first announcement", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "j", StartedAt: time.UnixMilli(2)}), announce(announcement("j", 2, 1))}, ErrStale, false},
+		{"the same under the same name", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "i", StartedAt: time.UnixMilli(2)}), announce(announcement("i", 2, 1))}, ErrStale, false},
+		{"the same without a start time", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "j"}), announce(announcement("j", 2, 1))}, ErrStale, true},
+		{"next incarnation after that one without a start time", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "j"}), announce(announcement("k", 3, 1))}, nil, true},
+		{"next incarnation after that one", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "j", StartedAt: time.UnixMilli(2)}), announce(announcement("k", 3, 1))}, nil, true},
 		{"another service", []func(*Gate) error{func(g *Gate) error {
 			a := announcement("i", 1, 1)
 			a.Service = "t"
@@ -81,6 +86,20 @@
 	})
 }
 
+// An incarnation whose clock is behind and that has left must not be accepted later, by
+// announcements from before its leave.
+func TestDepartedIncarnationWithEarlierClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := openGate(t)
+		is.True(errors.Is(g.Announce(announcement("j", 500, 1)), ErrStale))
+		is.True(errors.Is(g.Deregister(Deregistration{Instance: "j", StartedAt: time.UnixMilli(500)}), ErrStale))
+		time.Sleep(takeoverSilence)
+		is.True(errors.Is(g.Announce(announcement("j", 500, 2)), ErrStale))
+		is.Equal(g.target.announced.Instance, "i")
+	})
+}
+
 // Each invalid field of an announcement is rejected and named in the error.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	tests := []struct {
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -21,6 +21,9 @@
 	// pendingAnnouncement is the last announcement of an incarnation that seems to be
 	// older than the current one, but may be a new one whose clock is behind.
 	pendingAnnouncement Announcement
+	// departed is the last deregistration of an incarnation other than the current one.
+	// Its announcements may still arrive.
+	departed Deregistration
 	// shedAt is when the target itself last shed a request.
 	shedAt time.Time
 	// inFlight is the number of slots in use.
@@ -42,7 +45,7 @@
 // slots with those of the last one. Restrictions of the same incarnation go on.
 func (t *targetState) renewed(identity uint64) targetState {
 	s := newTargetState()
-	s.inFlight, s.restrictions = t.inFlight, t.restrictions
+	s.inFlight, s.restrictions, s.departed = t.inFlight, t.restrictions, t.departed
 	if identity != t.restrictions.identity {
 		s.restrictions = restrictions{identity: identity}
 	}
@@ -69,6 +72,8 @@
 func (t *targetState) applyAnnouncement(a Announcement, now time.Time) (changed bool, err error) {
 	isSameIncarnation := a.Instance == t.announced.Instance && a.StartedAt.Equal(t.announced.StartedAt)
 	switch {
+	case t.departed.isOf(a):
+		return false, ErrStale
 	case !t.isKnown:
 	case isSameIncarnation:
 		// A deregistered incarnation never accepts requests again.
@@ -93,26 +98,43 @@
 	return true, nil
 }
 
-// mayBeDeregistered reports whether an announcement may be a delayed one of the
+// mayBeDeregistered reports whether an announcement may be a delayed one of a
 // deregistered incarnation. That is undecidable if only a deregistration without
 // a start time is known.
 func (t *targetState) mayBeDeregistered(a Announcement) bool {
+	if t.departed.StartedAt.IsZero() && t.departed.Instance == a.Instance {
+		return true
+	}
 	return t.hasDeregistered && t.announced.StartedAt.IsZero() && a.Instance == t.announced.Instance
 }
 
-// applyDeregistration updates the state from a deregistration. That of an unknown
-// incarnation is recorded too, since its announcements may still arrive.
+// applyDeregistration updates the state from a deregistration. That of an incarnation whose
+// announcements have not arrived yet is recorded too: it replaces an earlier one at the
+// address, and it must not be opened by a late announcement.
 func (t *targetState) applyDeregistration(d Deregistration, now time.Time) (changed bool, err error) {
-	if !t.isKnown {
-		t.lastAnnouncedAt = now
-		t.announced = Announcement{Instance: d.Instance, StartedAt: d.StartedAt}
-		t.isKnown, t.hasDeregistered = true, true
-		return true, nil
-	}
-	if d.Instance != t.announced.Instance || !d.StartedAt.IsZero() && d.StartedAt.Before(t.announced.StartedAt) {
+	isCurrent := t.isKnown && d.Instance == t.announced.Instance && (d.StartedAt.IsZero() || d.StartedAt.Equal(t.announced.StartedAt))
+	switch {
+	case isCurrent:
+		changed = !t.hasDeregistered
+		t.hasDeregistered = true
+		return changed, nil
+	case t.isKnown && !d.StartedAt.After(t.announced.StartedAt):
+		// It may also be a new one whose clock is behind.
+		t.departed = d
 		return false, ErrStale
 	}
-	changed = !t.hasDeregistered
-	t.hasDeregistered = true
-	return changed, nil
+	a := Announcement{Instance: d.Instance, StartedAt: d.StartedAt}
+	if t.isKnown {
+		a.Address = t.announced.Address
+		*t = t.renewed(a.identity())
+	}
+	t.lastAnnouncedAt = now
+	t.announced = a
+	t.isKnown, t.hasDeregistered = true, true
+	return true, nil
+}
+
+// isOf reports whether an announcement is one of the incarnation that has deregistered.
+func (d Deregistration) isOf(a Announcement) bool {
+	return d.Instance != "" && d.Instance == a.Instance && d.StartedAt.Equal(a.StartedAt)
 }
