--- a/connection/http1/cut_test.go
+++ b/connection/http1/cut_test.go
@@ -1,10 +1,8 @@
 package http1
 
 import (
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -76,7 +74,7 @@
 					continue
 				}
 				if err == nil {
-					t.Fatal(fmt.Sprintf("cut after %q: status %d, body %q", strings.ReplaceAll(full[:cut], "\r", ""), res.Status, res.Body))
+					t.Fatalf("cut after %q: status %d, body %q", full[:cut], res.Status, res.Body)
 				}
 			}
 		})
--- a/connection/http1/id_history.go
+++ b/connection/http1/id_history.go
@@ -1,6 +1,10 @@
 package http1
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // maxServedIDs is how many earlier requests of a connection are remembered. A connection
 // carries one request at a time, so that they span several seconds: longer than a request
@@ -28,14 +32,5 @@
 
 // contains reports whether the ID is one of the last ones.
 func (h *idHistory) contains(id string) bool {
-	if id == "" {
-		return false
-	}
-	hash := xxhash.Sum64String(id)
-	for _, other := range h.hashes {
-		if other == hash {
-			return true
-		}
-	}
-	return false
+	return id != "" && slices.Contains(h.hashes, xxhash.Sum64String(id))
 }
--- a/connection/peerrpc/pool.go
+++ b/connection/peerrpc/pool.go
@@ -58,9 +58,7 @@
 
 // Call calls a method of the peer at address and stores the result in reply. ctx
 // must carry a deadline. If a reused connection turns out to be broken or silent, the
-// call is retried on a new one, so methods that are called with more than silenceTimeout
-// must be idempotent, and others must bear a call that is repeated after a broken
-// connection.
+// call is retried on a new one, so methods must be idempotent.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	for {
 		c, isReused, err := p.clientFor(ctx, address)
@@ -74,8 +72,8 @@
 	}
 }
 
-// call makes one attempt on c and sets reply if it succeeds. It removes c from the pool if the call times out or
-// the connection fails or is silent.
+// call makes one attempt on c and sets reply if it succeeds. It removes c from the pool if
+// the call times out or the connection fails or is silent.
 func (p *Pool) call(ctx context.Context, c *rpc.Client, isReused bool, address, method string, args, reply any) error {
 	attemptCtx := ctx
 	if isReused {
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -146,7 +146,7 @@
 // nextWait returns how long the next call to Next waits: until the node's own slot in a
 // period that all nodes share. The slots are spread evenly, so that a wait of some node
 // ends every waitEndInterval, also when all nodes begin to wait at once, after a change.
-// Nodes whose clocks differ have other slots than intended, but no node misses its own.
+// Nodes whose clocks differ have other slots than intended; each still has one in a period.
 func (f *Follower) nextWait(now time.Time) time.Duration {
 	index, count := f.fleet.Place()
 	period := min(maxWait, max(minPeriod, time.Duration(count)*waitEndInterval))
