--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -90,13 +90,13 @@
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
 	events = insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
-	return insertCustomerChanges(insertIncident(events, seed, nodes, duration), seed, duration)
+	return insertCustomerChanges(insertSilence(events, seed, nodes, duration), seed, duration)
 }
 
-// insertIncident adds connections of all nodes that fall silent, with a version that is
+// insertSilence adds connections of all nodes that fall silent, with a version that is
 // published afterwards, and targets that repeat their refusals or end in the head of their
 // responses. It draws from random numbers of its own, as insertReversion does.
-func insertIncident(events []event, seed uint64, nodes int, duration time.Duration) []event {
+func insertSilence(events []event, seed uint64, nodes int, duration time.Duration) []event {
 	rng := rand.New(rand.NewPCG(seed, 80))
 	for _, e := range []event{
 		{kind: faultSilence}, {kind: faultTarget, targetFault: `{"shed_share":0.7,"repeat_share":1}`}, {kind: faultTarget, targetFault: `{"truncate_head":true}`},
