--- a/process/entry/authentication_test.go
+++ b/process/entry/authentication_test.go
@@ -338,6 +338,22 @@
 	is.Equal(f.bodiesReceived[1].Load(), int64(0))
 }
 
+// callBehind sends a request to an entry that has the configuration before and knows of a
+// version. The configuration after arrives later. It returns the status and how long the
+// request took.
+func callBehind(t *testing.T, before, after configuration.Configuration, known uint64, arrivesIn time.Duration, path, key string) (status int, took time.Duration) {
+	t.Helper()
+	f := newGateFleet(t, respondOK("a"))
+	configurations := f.use(before)
+	f.entry.options.KnownVersion = func() uint64 { return known }
+	c := f.newCaller(t)
+	timer := time.AfterFunc(arrivesIn, func() { configurations.set(after) })
+	defer timer.Stop()
+	startedAt := time.Now()
+	resp, _ := c.call(path, key)
+	return resp.Status, time.Since(startedAt)
+}
+
 // A key that another node may know already must not get 401: the request waits for the newer
 // configuration, and is refused for now if it does not come within a second. A key that the
 // newest known configuration does not have must get 401 as soon as this is known.
@@ -361,16 +377,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := newGateFleet(t, respondOK("a"))
-			configurations := f.use(customersConfiguration(1, "k1"))
-			f.entry.options.KnownVersion = func() uint64 { return test.known }
-			c := f.newCaller(t)
-			timer := time.AfterFunc(test.arrivesIn, func() { configurations.set(customersConfiguration(2, "k2")) })
-			defer timer.Stop()
-			startedAt := time.Now()
-			resp, _ := c.call("/claim/", test.key)
-			is.Equal(resp.Status, test.status)
-			took := time.Since(startedAt)
+			status, took := callBehind(t, customersConfiguration(1, "k1"), customersConfiguration(2, "k2"), test.known, test.arrivesIn, "/claim/", test.key)
+			is.Equal(status, test.status)
 			is.True(took >= test.least-20*time.Millisecond)
 			is.True(took <= test.most)
 		})
@@ -422,16 +430,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := newGateFleet(t, respondOK("a"))
-			configurations := f.use(customersConfiguration(1))
-			f.entry.options.KnownVersion = func() uint64 { return test.known }
-			c := f.newCaller(t)
-			timer := time.AfterFunc(test.arrivesIn, func() { configurations.set(withRoute) })
-			defer timer.Stop()
-			startedAt := time.Now()
-			resp, _ := c.call(test.path, "")
-			is.Equal(resp.Status, test.status)
-			took := time.Since(startedAt)
+			status, took := callBehind(t, customersConfiguration(1), withRoute, test.known, test.arrivesIn, test.path, "")
+			is.Equal(status, test.status)
 			is.True(took >= test.least-20*time.Millisecond)
 			is.True(took <= test.most)
 		})
