membership: records and versions out of range never enter a view

Seen (real nodes and the store stand-in): a record with port 70000 or -1, or with no address at all, among those of the nodes counted as a node for good: 4 nodes with 3 processes, in the size of its service, in quotas and in elections. A record under a node's own address with the largest int64 as its incarnation wrapped the node's own one to the smallest; the others kept the odd record and did not believe the node's leave.

Cause: a record was valid if its address, gate and service were not empty. Versions and addresses in messages of other nodes were not checked at all.

Change: Record.Validate gives each field its range, and View.Merge, through which all records pass, stores only valid ones. So an odd record that a node of an older version holds is not taken from it and goes away as the nodes are replaced. An incarnation may lie a year ahead, which no clock does and which leaves room to raise the own one. A version above int64, or one whose holder has no address, is ignored. Records in the store that are ignored are logged with the field, at most ten a read; those from other nodes every 10 s.

The nodes of TestEvidenceReachesAllNodes got addresses that can exist; its checks are the same.

--- a/process/membership/evidence_test.go
+++ b/process/membership/evidence_test.go
@@ -26,14 +26,14 @@
 				f := newFleet(ctx, 0)
 				tables := make([]*quarantine.Table, size)
 				start := func(i int) {
-					v := NewView(Record{ControlAddress: fmt.Sprint("n", i), GateAddress: "g", Service: "s", DataCentre: "d", Region: fmt.Sprint("r", i%3), Incarnation: 1})
+					v := NewView(Record{ControlAddress: newRecord(i, 1).ControlAddress, GateAddress: "10.0.0.1:2", Service: "s", DataCentre: "d", Region: fmt.Sprint("r", i%3), Incarnation: 1})
 					for j := range size {
-						v.Merge([]Record{{ControlAddress: fmt.Sprint("n", j), GateAddress: "g", Service: "s", DataCentre: "d", Region: fmt.Sprint("r", j%3), Incarnation: 1}})
+						v.Merge([]Record{{ControlAddress: newRecord(j, 1).ControlAddress, GateAddress: "10.0.0.1:2", Service: "s", DataCentre: "d", Region: fmt.Sprint("r", j%3), Incarnation: 1}})
 					}
 					tables[i] = quarantine.NewTable(hclog.NewNullLogger())
 					g := NewGossiper(v, &fakeConfigurations{changed: make(chan struct{})}, tables[i], f, hclog.NewNullLogger())
 					f.mu.Lock()
-					f.receivers[fmt.Sprint("n", i)] = NewReceiver(g)
+					f.receivers[newRecord(i, 1).ControlAddress] = NewReceiver(g)
 					f.mu.Unlock()
 					go g.Run(ctx)
 				}
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -90,8 +91,14 @@
 	// advertised is the newest configuration version that was advertised to other
 	// nodes.
 	advertised uint64
+	// nextRejectionLogAt is when a rejected record is logged again.
+	nextRejectionLogAt time.Time
 }
 
+// rejectionLogInterval is the time between two rejected records that are logged. A node
+// of an older version that holds one sends it with each comparison.
+const rejectionLogInterval = 10 * time.Second
+
 // heldVersion is a configuration version and a node that has it.
 type heldVersion struct {
 	holder  string
@@ -156,6 +163,7 @@
 // Merge stores records in the view and queues those that are new to it for a
 // push.
 func (g *Gossiper) Merge(records []Record) {
+	g.logRejected(records, time.Now())
 	updates := g.view.Merge(records)
 	if len(updates) == 0 {
 		return
@@ -167,6 +175,26 @@
 	g.QueuePush(updates)
 }
 
+// logRejected logs the first record that the view will not store, now and then.
+func (g *Gossiper) logRejected(records []Record, now time.Time) {
+	for _, r := range records {
+		err := r.Validate(now)
+		if err == nil {
+			continue
+		}
+		g.mu.Lock()
+		isDue := !now.Before(g.nextRejectionLogAt)
+		if isDue {
+			g.nextRejectionLogAt = now.Add(rejectionLogInterval)
+		}
+		g.mu.Unlock()
+		if isDue {
+			g.logger.Warn("record from another node rejected", "node", field.Quote(r.ControlAddress), "reason", err)
+		}
+		return
+	}
+}
+
 // QueuePush queues records to be pushed to a few random nodes. If the queue is
 // full, the records are dropped and spread by comparisons alone.
 func (g *Gossiper) QueuePush(updates []Record) {
@@ -302,7 +330,7 @@
 // requests a fetch if it is newer than the own one.
 func (g *Gossiper) recordRemoteVersion(holder string, version uint64) {
 	known, _ := g.newestKnownVersion()
-	if own, _ := g.configurations.Newest(); version <= own || holder == g.self() {
+	if own, _ := g.configurations.Newest(); version <= own || holder == "" || holder == g.self() {
 		return
 	}
 	g.mu.Lock()
@@ -375,6 +403,7 @@
 		g.logger.Debug("call to another node failed", "node", peer.ControlAddress, "method", method, "reason", err)
 		return false
 	}
+	*reply = reply.checked()
 	return true
 }
 
--- a/process/membership/message.go
+++ b/process/membership/message.go
@@ -1,6 +1,11 @@
 package membership
 
-import "github.com/cuminwheel/cuminwheel/process/quarantine"
+import (
+	"math"
+
+	"github.com/cuminwheel/cuminwheel/process/quarantine"
+	"github.com/cuminwheel/cuminwheel/request/field"
+)
 
 // Message is the argument and the reply of all calls between nodes. Its names on
 // the wire are short, since each node compares once a second and traffic between
@@ -32,6 +37,24 @@
 	Configuration []byte `codec:"c,omitempty"`
 }
 
+// checked returns the message without the fields that are invalid. Records and evidence
+// are checked one by one where they are stored.
+func (m Message) checked() Message {
+	var sender, version field.Checker
+	sender.Address("sender", m.Sender)
+	if sender.Err() != nil {
+		m.Sender = ""
+	}
+	version.Require(m.ConfigurationVersion <= math.MaxInt64, "version", "it is too large")
+	if m.ConfigurationHolder != "" {
+		version.Address("holder", m.ConfigurationHolder)
+	}
+	if version.Err() != nil {
+		m.ConfigurationVersion, m.ConfigurationHolder = 0, ""
+	}
+	return m
+}
+
 // ReceiverName is the name under which a Receiver is served.
 const ReceiverName = "Roster"
 
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -16,6 +16,7 @@
 // views differ, and with the newest known configuration version.
 func (r *Receiver) Compare(request Message, reply *Message) error {
 	g := r.gossiper
+	request = request.checked()
 	g.recordRemoteVersion(cmp.Or(request.ConfigurationHolder, request.Sender), request.ConfigurationVersion)
 	reply.ConfigurationVersion, reply.ConfigurationHolder = g.newestKnownVersion()
 	now := time.Now()
@@ -34,6 +35,7 @@
 // as they were before the merge.
 func (r *Receiver) Tell(request Message, reply *Message) error {
 	g := r.gossiper
+	request = request.checked()
 	wanted := g.view.RecordsInBuckets(request.WantedBuckets, request.BucketCount)
 	g.Merge(request.Records)
 	g.evidence.Merge(request.Evidence, time.Now())
--- a/process/membership/record.go
+++ b/process/membership/record.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cuminwheel/cuminwheel/request/field"
 )
 
 // Record describes a node to the other nodes. Its names on the wire are short,
@@ -25,8 +27,22 @@
 	Gone bool `json:"gone,omitempty" codec:"x,omitempty"`
 }
 
-func (r Record) isValid() bool {
-	return r.ControlAddress != "" && r.GateAddress != "" && r.Service != ""
+// maxClockSkew bounds how far the incarnation of a record may lie in the future. It is far
+// above the difference of any two clocks, and leaves room to raise an incarnation above
+// that of a foreign record.
+const maxClockSkew = 365 * 24 * time.Hour
+
+// Validate returns a *field.Error for the first invalid field, or nil. Records come from
+// the store and from other nodes. None enters a view unless it is valid at that time.
+func (r Record) Validate(now time.Time) error {
+	var c field.Checker
+	c.Address("node", r.ControlAddress)
+	c.Address("gate", r.GateAddress)
+	c.Name("service", r.Service)
+	c.Label("data_centre", r.DataCentre)
+	c.Label("region", r.Region)
+	c.StartTime("issue", r.Incarnation, now, maxClockSkew)
+	return c.Err()
 }
 
 // supersedes reports whether r replaces old, a record of the same address.
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // View is the set of records that a node knows. It is safe for concurrent use.
@@ -49,10 +50,11 @@
 // doesn't supersede it, Merge raises the own incarnation above it and returns
 // the new own record among the updates.
 func (v *View) Merge(records []Record) (updates []Record) {
+	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range records {
-		if !r.isValid() {
+		if r.Validate(now) != nil {
 			continue
 		}
 		if r.ControlAddress == v.self.ControlAddress {
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -28,10 +28,13 @@
 	retry(ctx, func() bool { return n.readNodes(ctx) })
 }
 
+// maxLoggedRecords bounds the invalid records of one call that are logged.
+const maxLoggedRecords = 10
+
 // readNodes merges the records in the store into the view and reports whether the
 // store could be read.
 func (n *Node) readNodes(ctx context.Context) bool {
-	records, malformed, err := n.platform.Registry.Nodes(ctx)
+	records, invalid, err := n.platform.Registry.Nodes(ctx)
 	if err != nil {
 		n.logger.Warn("reading node records from the store failed", "reason", err)
 		return false
@@ -39,7 +42,10 @@
 	before := n.view.Version()
 	n.view.Merge(records)
 	n.hasReadNodes.Store(true)
-	n.logger.Info("read node records from the store", "nodes", len(records), "malformed", malformed, "changed", n.view.Version() != before)
+	for _, err := range invalid[:min(len(invalid), maxLoggedRecords)] {
+		n.logger.Warn("record of a node in the store ignored", "reason", err)
+	}
+	n.logger.Info("read node records from the store", "nodes", len(records), "malformed", len(invalid), "changed", n.view.Version() != before)
 	return true
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -39,8 +39,8 @@
 	Join(ctx context.Context, r membership.Record) error
 	// Leave removes a node's record.
 	Leave(ctx context.Context, r membership.Record) error
-	// Nodes returns the records that can be read, and how many cannot.
-	Nodes(ctx context.Context) (records []membership.Record, malformed int, err error)
+	// Nodes returns the valid records, and an error for each of the others.
+	Nodes(ctx context.Context) (records []membership.Record, invalid []error, err error)
 	// Reverted returns a channel that is closed when the registry next loses what
 	// was written in the last seconds.
 	Reverted() <-chan struct{}
