gate, announcement: values out of range do not replace the sound target

Seen (real nodes): an announcement with the largest int64 as start time got 200, and the gate refused the sound target's work for 5 s (6 of 90 requests, no_target).

Cause: start time, sequence number and warm-up of an announcement had no ranges. The largest sequence number would have made all later announcements of its target stale, and a long warm-up made it less preferred for good.

A start may lie an hour ahead of the node's clock, which is the target's own.

--- a/cmd/cuminwheel/standin_target.go
+++ b/cmd/cuminwheel/standin_target.go
@@ -38,7 +38,7 @@
 		Address: c.String("listen"), Slots: c.Int("slots"), StartedAt: startedAt, DrainTime: c.Duration("drain"),
 	}
 	announcement := gate.Announcement{Instance: announcer.Instance, Service: announcer.Service, Address: announcer.Address, Slots: announcer.Slots, StartedAt: startedAt}
-	if err := announcement.Validate(); err != nil {
+	if err := announcement.Validate(time.Now()); err != nil {
 		return usageError(err)
 	}
 	ranFile, err := openRanFile(c.String("ran-file"))
--- a/process/gate/announcement.go
+++ b/process/gate/announcement.go
@@ -1,12 +1,11 @@
 package gate
 
 import (
-	"fmt"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/go-faster/errors"
 )
 
@@ -35,13 +34,6 @@
 	return xxhash.Sum64String(a.Instance + "/" + strconv.FormatInt(a.StartedAt.UnixMilli(), 36) + "/" + a.Address)
 }
 
-// Deregistration is the message of a target that leaves for good.
-type Deregistration struct {
-	Instance string
-	// StartedAt is zero if the message does not contain the start time.
-	StartedAt time.Time
-}
-
 // Errors returned by Announce and Deregister.
 var (
 	// ErrWrongTarget means that an announcement names another service or address
@@ -53,31 +45,46 @@
 
 // AnnouncementError reports an invalid field of an announcement and how to correct
 // it.
-type AnnouncementError struct {
-	Field  string
-	Remedy string
-}
+type AnnouncementError = field.Error
 
-func (e *AnnouncementError) Error() string { return e.Field + ": " + e.Remedy }
+const (
+	// maxSlots is the largest number of slots that a target may announce.
+	maxSlots = 10_000
+	// maxStartAhead bounds how far the start of a target may lie in the future. A target
+	// has the clock of its node, which may have been set back since.
+	maxStartAhead = time.Hour
+	// maxSequence bounds the numbers of announcements, of which a target sends about one a
+	// second.
+	maxSequence = 1 << 40
+)
 
-// maxSlots is the largest number of slots that a target may announce.
-const maxSlots = 10_000
+// Validate returns an *AnnouncementError for the first invalid field, or nil.
+func (a Announcement) Validate(now time.Time) error {
+	var c field.Checker
+	c.Name("instance", a.Instance)
+	c.Name("service", a.Service)
+	c.Address("address", a.Address)
+	c.Int("slots", int64(a.Slots), 1, maxSlots)
+	c.Require(!a.StartedAt.IsZero(), "born", "it is missing; give the time of the target's start")
+	c.StartTime("born", a.StartedAt.UnixMilli(), now, maxStartAhead)
+	c.Int("seq", a.Sequence, 0, maxSequence)
+	c.Require(a.WarmupEndsAt.Sub(now) <= field.MaxDuration, "cold_remaining", "give a time of at most %v", field.MaxDuration)
+	return c.Err()
+}
+
+// Deregistration is the message of a target that leaves for good.
+type Deregistration struct {
+	Instance string
+	// StartedAt is zero if the message does not contain the start time.
+	StartedAt time.Time
+}
 
 // Validate returns an *AnnouncementError for the first invalid field, or nil.
-func (a Announcement) Validate() error {
-	switch {
-	case a.Instance == "":
-		return &AnnouncementError{"instance", "name the target's start"}
-	case a.Service == "":
-		return &AnnouncementError{"service", "name the service that the target belongs to"}
-	case a.Slots < 1 || a.Slots > maxSlots:
-		return &AnnouncementError{"slots", fmt.Sprintf("give a number from 1 to %d", maxSlots)}
-	case a.StartedAt.IsZero():
-		return &AnnouncementError{"born", "give the time of the target's start"}
-	}
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil {
-		return &AnnouncementError{"address", "give an IP number and a port"}
+func (d Deregistration) Validate(now time.Time) error {
+	var c field.Checker
+	c.Name("instance", d.Instance)
+	if !d.StartedAt.IsZero() {
+		c.StartTime("born", d.StartedAt.UnixMilli(), now, maxStartAhead)
 	}
-	return nil
+	return c.Err()
 }
--- a/process/gate/announcement_test.go
+++ b/process/gate/announcement_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,21 @@
 	})
 }
 
+// An announcement with the largest start time must not replace the sound target, whose
+// work the gate refused for seconds.
+func TestOddAnnouncementLeavesTheTarget(t *testing.T) {
+	is := is.New(t)
+	g := openGate(t)
+	odd := announcement("j", math.MaxInt64, 1)
+	var e *AnnouncementError
+	is.True(errors.As(g.Announce(odd), &e))
+	is.Equal(e.Field, "born")
+	is.True(errors.As(g.Deregister(Deregistration{Instance: "j", StartedAt: odd.StartedAt}), &e))
+	is.Equal(e.Field, "born")
+	is.True(g.State().Accepting)
+	is.Equal(g.target.announced.Instance, "i")
+}
+
 // Each invalid field of an announcement is rejected and named in the error.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	tests := []struct {
@@ -121,7 +137,7 @@
 			is := is.New(t)
 			a := announcement("i", 1, 1)
 			test.edit(&a)
-			err := a.Validate()
+			err := a.Validate(time.Now())
 			if test.field == "" {
 				is.NoErr(err)
 				return
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -129,7 +129,8 @@
 // Announce updates the target's state from an announcement. When it returns, a
 // draining target gets no new requests.
 func (g *Gate) Announce(a Announcement) error {
-	if err := a.Validate(); err != nil {
+	now := time.Now()
+	if err := a.Validate(now); err != nil {
 		return err
 	}
 	if a.Service != g.options.Service || a.Address != g.options.Address {
@@ -138,7 +139,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	previousInstance := g.target.announced.Instance
-	changed, err := g.target.applyAnnouncement(a, time.Now())
+	changed, err := g.target.applyAnnouncement(a, now)
 	if err != nil {
 		return err
 	}
@@ -157,12 +158,13 @@
 // Deregister marks the target as gone. When it returns, the target gets no new
 // requests.
 func (g *Gate) Deregister(d Deregistration) error {
-	if d.Instance == "" {
-		return &AnnouncementError{"instance", "name the target's start"}
+	now := time.Now()
+	if err := d.Validate(now); err != nil {
+		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed, err := g.target.applyDeregistration(d, time.Now())
+	changed, err := g.target.applyDeregistration(d, now)
 	if err != nil {
 		return err
 	}
