gate: a target that drains is believed whatever the number of its announcement

After an announcement with an odd high number, which may still be in range, the target's later announcements are stale: that it drains was confirmed with 200 and dropped, so that it got new work until it ended (DRAIN).

Cause: an announcement with a number not above the last one was stale, whatever it said.

Change: that an incarnation drains holds for good, so it is applied however late it comes.

Evidence: TestAnnouncementOrder "draining with a lower number than a known announcement" fails without the change and passes.

--- a/process/gate/announcement_test.go
+++ b/process/gate/announcement_test.go
@@ -29,6 +29,7 @@
 		{"draining", []func(*Gate) error{announce(announcement("i", 1, 1)), announce(draining(announcement("i", 1, 2)))}, nil, false},
 		{"delayed announcement after draining", []func(*Gate) error{announce(draining(announcement("i", 1, 2))), announce(announcement("i", 1, 1))}, ErrStale, false},
 		{"draining does not end within an incarnation", []func(*Gate) error{announce(draining(announcement("i", 1, 2))), announce(announcement("i", 1, 3))}, nil, false},
+		{"draining with a lower number than a known announcement", []func(*Gate) error{announce(announcement("i", 1, 1<<39)), announce(draining(announcement("i", 1, 7)))}, nil, false},
 		{"left", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "i", StartedAt: time.UnixMilli(1)})}, nil, false},
 		{"delayed announcement after deregistration", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "i"}), announce(announcement("i", 1, 2))}, ErrStale, false},
 		{"deregistered twice", []func(*Gate) error{announce(announcement("i", 1, 1)), deregister(Deregistration{Instance: "i"}), deregister(Deregistration{Instance: "i"})}, nil, false},
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -77,7 +77,15 @@
 	case !t.isKnown:
 	case isSameIncarnation:
 		// A deregistered incarnation never accepts requests again.
-		if t.hasDeregistered || a.Sequence <= t.announced.Sequence {
+		switch {
+		case t.hasDeregistered:
+			return false, ErrStale
+		case a.Sequence > t.announced.Sequence:
+		case a.Draining && !t.announced.Draining:
+			// An incarnation that has drained never reopens, so that this is true however
+			// late it comes. The higher number may be that of an odd announcement.
+			a.Sequence = t.announced.Sequence
+		default:
 			return false, ErrStale
 		}
 		changed = a.Draining != t.announced.Draining
