hopheader, quota, quarantine, http1: numbers of other processes cannot wrap

Seen: none by callers; found by looking for the class of the odd entries. A number of milliseconds above 2^63 / 10^6 in a message between nodes became a time in the past: a request was refused as expired, a crash seemed to lie ahead. A tiny rate of a customer gave a wrapped time after which its account is deleted, so that a used-up bucket began anew. A caller's deadline of 1e300 ms, or a target's Keep-Alive of 1e18 s, is converted by a float whose overflow has another result on x86-64 (far in the past) than on arm64 (far in the future).

Cause: conversions without a range, at each place.

Counts and ranks of the hop header are limited; TakeRequest and TakeReply are checked on arrival, and a node with an invalid reply counts as one that did not reply.

Not run: the x86-64 results.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -22,6 +22,7 @@
 	"strings"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
 )
@@ -119,8 +120,7 @@
 	if params["s"] == "" || err1 != nil || err2 != nil || err3 != nil {
 		return Request{}, ErrMalformed
 	}
-	priority, _ := strconv.Atoi(params["p"]) // absent means 0
-	customerPriority, _ := strconv.Atoi(params["y"])
+	priority, customerPriority := extractPriority(params["p"]), extractPriority(params["y"])
 	customer, err := url.QueryUnescape(params["u"])
 	if err != nil {
 		return Request{}, ErrMalformed
@@ -133,9 +133,9 @@
 	return Request{
 		Service: params["s"], CallerService: params["c"], Priority: priority, RouteHash: uint32(routeHash),
 		IsStateQuery: params["q"] != "", Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "", EntryLeaves: params["l"] != "",
-		SoftDeadline:  arrived.Add(time.Duration(softMillis) * time.Millisecond),
-		Deadline:      arrived.Add(time.Duration(deadlineMillis) * time.Millisecond),
-		QueueDeadline: arrived.Add(time.Duration(queueMillis) * time.Millisecond),
+		SoftDeadline:  arrived.Add(field.Millis(softMillis)),
+		Deadline:      arrived.Add(field.Millis(deadlineMillis)),
+		QueueDeadline: arrived.Add(field.Millis(queueMillis)),
 		Notice:        notice,
 		Customer:      customer, CustomerPriority: customerPriority,
 	}, nil
@@ -212,7 +212,10 @@
 	params := extractParams(h)
 	busy, err1 := strconv.Atoi(params["b"])
 	slots, err2 := strconv.Atoi(params["n"])
-	if err1 != nil || err2 != nil {
+	var c field.Checker
+	c.Int("b", int64(busy), 0, field.MaxCount)
+	c.Int("n", int64(slots), 0, field.MaxCount)
+	if err1 != nil || err2 != nil || c.Err() != nil {
 		return Response{}, ErrMalformed
 	}
 	r := Response{
@@ -220,10 +223,10 @@
 		RetryCharged: params["k"] != "",
 	}
 	if ms, err := strconv.ParseInt(params["a"], 10, 64); err == nil {
-		r.State.LastSuccessAt = now.Add(-time.Duration(ms) * time.Millisecond)
+		r.State.LastSuccessAt = now.Add(-field.Millis(ms))
 	}
 	if ms, err := strconv.ParseInt(params["w"], 10, 64); err == nil {
-		r.State.AdmitsAt = now.Add(time.Duration(ms) * time.Millisecond)
+		r.State.AdmitsAt = now.Add(field.Millis(ms))
 	}
 	r.State.Notice = extractNotice(params)
 	code := outcome.Code(params["x"])
@@ -236,11 +239,20 @@
 		r.Problem = outcome.Refused(code, "the gate reported it")
 	}
 	if ms, err := strconv.ParseInt(params["t"], 10, 64); err == nil {
-		r.Problem = r.Problem.WithRetryAt(now.Add(time.Duration(ms) * time.Millisecond))
+		r.Problem = r.Problem.WithRetryAt(now.Add(field.Millis(ms)))
 	}
 	return r, nil
 }
 
+// extractPriority parses a rank. One that is absent or malformed counts as 0.
+func extractPriority(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return min(max(n, 0), field.MaxPriority)
+}
+
 // extractParams splits the header field into its parameters and removes it from h.
 func extractParams(h http.Header) map[string]string {
 	params := map[string]string{}
--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/go-faster/errors"
 )
 
@@ -193,7 +194,7 @@
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if n, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			idle = time.Duration(float64(n) * idleTimeoutFraction * float64(time.Second))
+			idle = field.Seconds(float64(n) * idleTimeoutFraction)
 		}
 	}
 	c.usableUntil = time.Now().Add(idle)
--- a/process/gate/limiter.go
+++ b/process/gate/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 )
 
@@ -133,5 +134,5 @@
 	if l.knowledge != limited || missing <= 0 {
 		return time.Time{}
 	}
-	return now.Add(time.Duration(missing/l.perSecond*float64(time.Second)) + timerResolution)
+	return now.Add(field.Seconds(missing/l.perSecond) + timerResolution)
 }
--- a/process/quarantine/table.go
+++ b/process/quarantine/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/hashicorp/go-hclog"
 )
@@ -173,11 +174,11 @@
 		e.crashes, isNew = crashes, true
 	}
 	if isNew {
-		age := min(Retention, time.Duration(max(0, r.AgeMillis))*time.Millisecond)
+		age := min(Retention, field.Millis(r.AgeMillis))
 		if at := now.Add(-age); e.firstCrashAt.IsZero() || at.Before(e.firstCrashAt) {
 			e.firstCrashAt = at
 		}
-		remaining := min(Retention, time.Duration(r.RemainingMillis)*time.Millisecond)
+		remaining := min(Retention, field.Millis(r.RemainingMillis))
 		if expiresAt := now.Add(remaining); expiresAt.After(e.expiresAt) {
 			e.expiresAt = expiresAt
 		}
--- a/process/quota/bucket.go
+++ b/process/quota/bucket.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/request/field"
+)
 
 const (
 	// extraBurst, in tokens, is added to each customer's burst. It makes up for tokens
@@ -41,13 +45,13 @@
 // those promised before. With a count of 0 it promises nothing. Promises beyond the horizon start again at the next token, so
 // that no caller waits for more than the horizon.
 func (b *bucket) promise(now time.Time, rate float64, count int) time.Time {
-	interval := time.Duration(float64(time.Second) / rate)
+	interval := field.Seconds(1 / rate)
 	next := now.Add(time.Duration(max(0, 1-b.level) * float64(interval)))
 	if after := b.promised.Add(interval); after.After(next) && after.Before(now.Add(promiseHorizon)) {
 		next = after
 	}
 	if count > 0 {
-		b.promised = next.Add(time.Duration(count-1) * interval)
+		b.promised = next.Add(field.Seconds(float64(count-1) / rate))
 	}
 	return next
 }
--- a/process/quota/client.go
+++ b/process/quota/client.go
@@ -217,6 +217,7 @@
 			continue
 		}
 		s.repliedAt = now
+		reply.Granted = min(reply.Granted, want)
 		s.add(reply.Granted, calledAt.Add(tokenTTL))
 		s.serveWaiters(now)
 		if reply.Granted < want {
--- a/process/quota/home.go
+++ b/process/quota/home.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/cuminwheel/cuminwheel/request/field"
 )
 
 // Transport calls a method of another node.
@@ -94,7 +95,12 @@
 func (h *Home) callWithin(timeout time.Duration, address, method string, args, reply any) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return h.transport.Call(ctx, address, method, args, reply) == nil
+	if h.transport.Call(ctx, address, method, args, reply) != nil {
+		return false
+	}
+	// A node that sends an invalid reply is as good as one that sends none.
+	take, ok := reply.(*TakeReply)
+	return !ok || take.Validate() == nil
 }
 
 // take grants tokens, or passes the call on to the node that may grant them.
@@ -256,7 +262,7 @@
 func (h *Home) expireSome(now time.Time) {
 	checked := 0
 	for name, a := range h.accounts {
-		full := time.Duration((a.burst + extraBurst) / a.rate * float64(time.Second))
+		full := field.Seconds((a.burst + extraBurst) / a.rate)
 		if now.Sub(a.usedAt) > max(minIdle, full) && !a.isMoving {
 			delete(h.accounts, name)
 		}
--- a/process/quota/message.go
+++ b/process/quota/message.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/request/field"
+)
 
 // ReceiverName is the name under which a Receiver is served.
 const ReceiverName = "Quota"
@@ -46,9 +50,38 @@
 	MovedTo string `codec:"m,omitempty"`
 }
 
+// Validate returns a *field.Error for the first invalid field, or nil.
+func (r TakeRequest) Validate() error {
+	var c field.Checker
+	c.Name("name", r.Name)
+	c.Float("rate", r.Rate, 0, field.MaxRate)
+	c.Float("burst", r.Burst, 0, field.MaxRate)
+	c.Int("want", int64(r.Want), 0, field.MaxCount)
+	c.Int("waiting", int64(r.Waiting), 0, field.MaxCount)
+	if r.Via != "" {
+		c.Address("via", r.Via)
+	}
+	if r.NewHome != "" {
+		c.Address("new_home", r.NewHome)
+	}
+	return c.Err()
+}
+
+// Validate returns a *field.Error for the first invalid field, or nil.
+func (r TakeReply) Validate() error {
+	var c field.Checker
+	c.Int("granted", int64(r.Granted), 0, field.MaxCount)
+	c.Int("retry_after_ms", r.RetryAfterMS, 0, field.MaxDuration.Milliseconds())
+	c.Float("level", r.Level, 0, 2*field.MaxRate)
+	if r.MovedTo != "" {
+		c.Address("moved_to", r.MovedTo)
+	}
+	return c.Err()
+}
+
 // retryAt returns the reply's retry time.
 func (r TakeReply) retryAt(now time.Time) time.Time {
-	return now.Add(time.Duration(r.RetryAfterMS) * time.Millisecond)
+	return now.Add(field.Millis(r.RetryAfterMS))
 }
 
 // CheckRequest asks whether the receiver is reached, or whether it reaches Via.
@@ -70,12 +103,22 @@
 
 // Take grants tokens, or passes the call on to the customer's home.
 func (r *Receiver) Take(request TakeRequest, reply *TakeReply) error {
+	if err := request.Validate(); err != nil {
+		return err
+	}
 	*reply = r.home.take(request)
 	return nil
 }
 
 // Check replies whether the node that the request names is reached.
 func (r *Receiver) Check(request CheckRequest, reply *CheckReply) error {
+	if request.Via != "" {
+		var c field.Checker
+		c.Address("via", request.Via)
+		if err := c.Err(); err != nil {
+			return err
+		}
+	}
 	reply.Reached = request.Via == "" || r.home.checkPeer(request.Via)
 	return nil
 }
--- a/process/quota/stock.go
+++ b/process/quota/stock.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cuminwheel/cuminwheel/request/field"
 )
 
 const (
@@ -130,7 +132,7 @@
 // refuseWaiters refuses the given number of requests that wait. Their retry times are
 // 1/rate apart, as the home has promised them.
 func (s *stock) refuseWaiters(count int, now, retryAt time.Time) {
-	interval := time.Duration(float64(time.Second) / s.rate)
+	interval := field.Seconds(1 / s.rate)
 	for i := range min(count, len(s.waiters)) {
 		d := s.decision(now)
 		d.RetryAt = retryAt.Add(time.Duration(i) * interval)
