--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -153,7 +154,7 @@
 	if net.ParseIP(host) == nil {
 		return fmt.Errorf("%q is not an IP address; host names are not resolved", host)
 	}
-	if port == "0" || port == "" {
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
 		return fmt.Errorf("set a port from 1 to 65535")
 	}
 	return nil
--- a/version/configuration/configuration.go
+++ b/version/configuration/configuration.go
@@ -110,6 +110,9 @@
 	Weight  float64
 }
 
+// MaxSize bounds the sizes in a configuration, in bytes.
+const MaxSize = 1 << 40
+
 // DefaultLimits are the limits that apply unless a configuration sets others.
 var DefaultLimits = Limits{
 	MaxHeaderBytes: 16 << 10,
--- a/version/configuration/draft.go
+++ b/version/configuration/draft.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/field"
 	"github.com/go-faster/errors"
 )
 
@@ -97,20 +99,21 @@
 // Validate returns a *ValidationError with every violation, or nil.
 func (d Draft) Validate() error {
 	var violations []Violation
-	add := func(field, remedy string, args ...any) {
-		violations = append(violations, Violation{Field: field, Remedy: fmt.Sprintf(remedy, args...)})
+	add := func(path, remedy string, args ...any) {
+		violations = append(violations, Violation{Field: path, Remedy: fmt.Sprintf(remedy, args...)})
 	}
-	if d.Version == 0 {
-		add("version", "set a version above that of the active configuration")
+	if d.Version == 0 || d.Version > math.MaxInt64 {
+		add("version", "set a version above that of the active configuration, at most %d", math.MaxInt64)
 	}
+	d.Limits.validate(add)
 	serviceNames := map[string]bool{}
 	for i, s := range d.Services {
-		field := fmt.Sprintf("services[%d].name", i)
+		path := fmt.Sprintf("services[%d].name", i)
 		switch {
 		case s.Name == "":
-			add(field, "set the name of the service")
+			add(path, "set the name of the service")
 		case serviceNames[s.Name]:
-			add(field, "%s is defined twice; remove one definition", s.Name)
+			add(path, "%s is defined twice; remove one definition", s.Name)
 		}
 		serviceNames[s.Name] = true
 	}
@@ -140,45 +143,69 @@
 	return &ValidationError{Violations: violations}
 }
 
-// validate calls add for each violation in the route. field is the path of the
+// validate calls add for each violation in the route. path is the path of the
 // route, and services are the names of all services.
-func (r DraftRoute) validate(field string, services map[string]bool, add func(field, remedy string, args ...any)) {
+func (r DraftRoute) validate(path string, services map[string]bool, add func(path, remedy string, args ...any)) {
 	if r.Host == "" {
-		add(field+".host", "set the host, without a port")
+		add(path+".host", "set the host, without a port")
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		add(field+".prefix", "%q must begin and end with /", r.Prefix)
+		add(path+".prefix", "%q must begin and end with /", r.Prefix)
 	}
-	if r.TimeoutMillis <= 0 {
-		add(field+".timeout_ms", "set a number of milliseconds above 0")
+	if r.TimeoutMillis <= 0 || r.TimeoutMillis > maxMillis {
+		add(path+".timeout_ms", "set a number of milliseconds above 0, at most %d", maxMillis)
 	}
 	if r.TargetLatencyMillis < 0 || r.TargetLatencyMillis > r.TimeoutMillis {
-		add(field+".target_latency_ms", "set a number from 0 to timeout_ms")
+		add(path+".target_latency_ms", "set a number from 0 to timeout_ms")
 	}
-	if r.MaxAttempts < 0 {
-		add(field+".max_attempts", "set a number of at least 1, or omit the field for 1")
+	if r.MaxAttempts < 0 || r.MaxAttempts > field.MaxCount {
+		add(path+".max_attempts", "set a number of at least 1 and at most %d, or omit the field for 1", field.MaxCount)
+	}
+	if r.Priority < 0 || r.Priority > field.MaxPriority {
+		add(path+".priority", "set a number of at least 0 and at most %d", field.MaxPriority)
 	}
 	switch {
 	case r.Bulk == BulkDownload && r.NonIdempotent:
-		add(field+".bulk", "requests of a download route may be repeated; remove bulk or never_repeat")
+		add(path+".bulk", "requests of a download route may be repeated; remove bulk or never_repeat")
 	case r.Bulk != "" && r.Bulk != BulkUpload && r.Bulk != BulkDownload:
-		add(field+".bulk", "%q is unknown; set %q or %q, or omit the field", r.Bulk, BulkUpload, BulkDownload)
+		add(path+".bulk", "%q is unknown; set %q or %q, or omit the field", r.Bulk, BulkUpload, BulkDownload)
 	}
 	if len(r.WeightedServices) == 0 {
-		add(field+".parts", "add at least one service")
+		add(path+".parts", "add at least one service")
 	}
 	totalWeight := 0.0
 	for i, s := range r.WeightedServices {
 		if !services[s.Service] {
-			add(fmt.Sprintf("%s.parts[%d].service", field, i), "%q is not defined; add it to services", s.Service)
+			add(fmt.Sprintf("%s.parts[%d].service", path, i), "%q is not defined; add it to services", s.Service)
 		}
-		if s.Weight < 0 {
-			add(fmt.Sprintf("%s.parts[%d].weight", field, i), "set a number of at least 0")
+		if !(s.Weight >= 0 && s.Weight <= field.MaxRate) {
+			add(fmt.Sprintf("%s.parts[%d].weight", path, i), "set a number of at least 0 and at most %g", float64(field.MaxRate))
 		}
 		totalWeight += s.Weight
 	}
 	if len(r.WeightedServices) > 0 && totalWeight <= 0 {
-		add(field+".parts", "set a weight above 0 for at least one service")
+		add(path+".parts", "set a weight above 0 for at least one service")
+	}
+}
+
+// maxMillis is the longest time that a draft may set, in ms.
+const maxMillis = int(field.MaxDuration / time.Millisecond)
+
+// validate calls add for each violation in the limits, which may be nil.
+func (l *DraftLimits) validate(add func(path, remedy string, args ...any)) {
+	if l == nil {
+		return
+	}
+	for _, n := range []struct {
+		path            string
+		value, greatest int64
+	}{
+		{"head_bytes", int64(l.MaxHeaderBytes), MaxSize}, {"body_bytes", l.MaxBodyBytes, MaxSize},
+		{"head_timeout_ms", int64(l.HeaderTimeoutMillis), int64(maxMillis)}, {"idle_timeout_ms", int64(l.IdleTimeoutMillis), int64(maxMillis)},
+	} {
+		if n.value < 0 || n.value > n.greatest {
+			add("limits."+n.path, "set a number of at least 0 and at most %d, or omit the field for the default", n.greatest)
+		}
 	}
 }
 
--- a/version/customer/builder.go
+++ b/version/customer/builder.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 	"unicode"
+
+	"github.com/cuminwheel/cuminwheel/request/field"
 )
 
 // Violation describes one invalid field of a definition. It never contains a key.
@@ -35,7 +36,7 @@
 )
 
 // MaxNameBytes bounds names, because they travel in a header of each request.
-const MaxNameBytes = 256
+const MaxNameBytes = field.MaxNameBytes
 
 // Builder collects the customers of a directory, one at a time.
 type Builder struct{ directory Directory }
@@ -49,29 +50,29 @@
 // violation. A customer may have no keys, and may list a key twice.
 func (b *Builder) Add(d Definition) []Violation {
 	var violations []Violation
-	add := func(field, remedy string, args ...any) {
-		violations = append(violations, Violation{Field: field, Remedy: fmt.Sprintf(remedy, args...)})
+	add := func(path, remedy string, args ...any) {
+		violations = append(violations, Violation{Field: path, Remedy: fmt.Sprintf(remedy, args...)})
 	}
 	b.checkName(d.Name, add)
-	if d.Priority < 0 {
-		add(FieldPriority, "set a number of at least 0; 0 is the highest priority")
+	if d.Priority < 0 || d.Priority > field.MaxPriority {
+		add(FieldPriority, "set a number of at least 0; 0 is the highest priority, %d the lowest", field.MaxPriority)
 	}
 	if !isQuota(d.RequestsPerSecond) {
-		add(FieldRequestsPerSecond, "set a number of at least 0, or omit the field for no quota")
+		add(FieldRequestsPerSecond, "set a number of at least 0 and at most %g, or omit the field for no quota", float64(field.MaxRate))
 	}
 	if !isQuota(d.Burst) {
-		add(FieldBurst, "set a number of at least 0")
+		add(FieldBurst, "set a number of at least 0 and at most %g", float64(field.MaxRate))
 	}
 	digests := make([]digest, len(d.Keys))
 	for i, key := range d.Keys {
-		field := fmt.Sprintf("%s[%d]", FieldKeys, i)
+		path := fmt.Sprintf("%s[%d]", FieldKeys, i)
 		if key == "" {
-			add(field, "set the key, or remove the empty one")
+			add(path, "set the key, or remove the empty one")
 			continue
 		}
 		digests[i] = digestOf(key)
 		if owner, ok := b.directory.byKey[digests[i]]; ok {
-			add(field, "customer %s has the same key; remove it from one of them", b.directory.customers[owner].Name)
+			add(path, "customer %s has the same key; remove it from one of them", b.directory.customers[owner].Name)
 		}
 	}
 	if len(violations) > 0 {
@@ -87,7 +88,7 @@
 }
 
 // checkName calls add if the name cannot be used.
-func (b *Builder) checkName(name string, add func(field, remedy string, args ...any)) {
+func (b *Builder) checkName(name string, add func(path, remedy string, args ...any)) {
 	_, isDuplicate := b.directory.byName[name]
 	switch {
 	case name == "":
@@ -103,7 +104,7 @@
 }
 
 // isQuota reports whether a rate or a burst is valid.
-func isQuota(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+func isQuota(v float64) bool { return v >= 0 && v <= field.MaxRate }
 
 // Directory returns the directory of the added customers. The builder must not be used
 // afterwards.
