http1: a connection remembers a request for as long as it may be sent again

Cause: 64 requests were taken to span several seconds. A target that responds, or refuses, within a millisecond gets as many in a tenth of a second on one connection; the refused request could then get the same connection again, within the 65 ms in which copies were seen to arrive.

Change: a request is remembered until its deadline, past which nobody sends it again, and 64 are remembered in any case. A connection that would have to remember more than 1,024 is closed.

Evidence: with the former window TestConnectionIsNotReusedUntilTheDeadline fails; it passes.

--- a/connection/http1/endless_test.go
+++ b/connection/http1/endless_test.go
@@ -99,7 +99,7 @@
 				defer cancel()
 				conn, err := pool.Get(ctx, time.Minute)
 				is.NoErr(err)
-				conn.served.add("0")
+				conn.served.add("0", time.Time{}, time.Now())
 				_, err = conn.Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "1", ExpectContinue: expectsContinue}, idOf, nil)
 				is.True(errors.Is(err, want))
 				is.NoErr(ctx.Err())
--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -91,8 +91,8 @@
 	if writeErr := <-bodyWritten; writeErr != nil {
 		reusable = false
 	}
-	c.served.add(r.ID)
-	c.reusable = reusable && stop()
+	c.served.add(r.ID, r.Deadline, time.Now())
+	c.reusable = reusable && !c.served.isFull() && stop()
 	return res, nil
 }
 
--- a/connection/http1/fuzz_test.go
+++ b/connection/http1/fuzz_test.go
@@ -33,7 +33,7 @@
 		budget := NewBodyBudget(limit)
 		input := &limitedReader{reader: conn, remaining: unlimited, errExceeded: errResponseTooLarge}
 		c := &Conn{conn: conn, input: input, reader: bufio.NewReaderSize(input, bufferSize), bodies: budget}
-		c.served.add("0")
+		c.served.add("0", time.Time{}, time.Now())
 		res, reusable, err := c.readResponse(t.Context(), Request{Method: http.MethodGet, ID: "1", RequireID: true}, idOf)
 		if err != nil {
 			if budget.Used() != 0 {
--- a/connection/http1/id_history.go
+++ b/connection/http1/id_history.go
@@ -2,35 +2,54 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxServedIDs is how many earlier requests of a connection are remembered. A connection
-// carries one request at a time, so that they span several seconds: longer than a request
-// is sent again.
-const maxServedIDs = 64
+const (
+	// minServedIDs is how many earlier requests of a connection are remembered at least.
+	minServedIDs = 64
+	// maxServedIDs bounds the requests that are remembered because they may be sent again.
+	// A connection that has carried as many is not reused.
+	maxServedIDs = 1024
+)
 
-// idHistory holds the hashes of the last IDs. Its zero value is empty.
+// idHistory holds the IDs of the last requests of a connection, and of all that may be sent
+// again. Its zero value is empty.
 type idHistory struct {
-	hashes []uint64
-	// next is the index of the oldest hash once there are maxServedIDs.
-	next int
+	// served are the requests, the earliest first.
+	served []servedID
+}
+
+// servedID is the hash of an ID, and the time until which the request may be sent again.
+type servedID struct {
+	hash  uint64
+	until time.Time
 }
 
-// add adds an ID, in place of the oldest one if there are too many. Empty IDs are ignored.
-func (h *idHistory) add(id string) {
-	switch {
-	case id == "":
-	case len(h.hashes) < maxServedIDs:
-		h.hashes = append(h.hashes, xxhash.Sum64String(id))
-	default:
-		h.hashes[h.next] = xxhash.Sum64String(id)
-		h.next = (h.next + 1) % maxServedIDs
+// add adds the ID of a request that may be sent again until the given time. Empty IDs are
+// ignored.
+func (h *idHistory) add(id string, until, now time.Time) {
+	if id == "" {
+		return
 	}
+	h.served = append(h.served, servedID{xxhash.Sum64String(id), until})
+	expired := 0
+	for expired < len(h.served)-minServedIDs && !h.served[expired].until.After(now) {
+		expired++
+	}
+	h.served = slices.Delete(h.served, 0, expired)
 }
 
-// contains reports whether the ID is one of the last ones.
+// isFull reports whether no further ID can be remembered.
+func (h *idHistory) isFull() bool { return len(h.served) >= maxServedIDs }
+
+// contains reports whether the ID is remembered.
 func (h *idHistory) contains(id string) bool {
-	return id != "" && slices.Contains(h.hashes, xxhash.Sum64String(id))
+	if id == "" || len(h.served) == 0 {
+		return false
+	}
+	hash := xxhash.Sum64String(id)
+	return slices.ContainsFunc(h.served, func(s servedID) bool { return s.hash == hash })
 }
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -76,11 +76,51 @@
 func TestIDHistory(t *testing.T) {
 	is := is.New(t)
 	var h idHistory
-	for i := range 3 * maxServedIDs {
-		h.add(strconv.Itoa(i))
-		is.True(h.contains(strconv.Itoa(max(0, i-maxServedIDs+1))))
-		is.True(i < maxServedIDs || !h.contains(strconv.Itoa(i-maxServedIDs)))
-		is.True(len(h.hashes) <= maxServedIDs)
+	now := time.Now()
+	for i := range 3 * minServedIDs {
+		h.add(strconv.Itoa(i), time.Time{}, now)
+		is.True(h.contains(strconv.Itoa(max(0, i-minServedIDs+1))))
+		is.True(i < minServedIDs || !h.contains(strconv.Itoa(i-minServedIDs)))
+		is.True(len(h.served) <= minServedIDs)
 	}
 	is.True(!h.contains(""))
+	// Requests that may be sent again are remembered, whatever their number, until then.
+	for i := range 3 * minServedIDs {
+		h.add("r"+strconv.Itoa(i), now.Add(time.Second), now)
+	}
+	is.True(h.contains("r0"))
+	h.add("x", time.Time{}, now.Add(time.Second))
+	is.True(!h.contains("r0"))
+	is.True(len(h.served) <= minServedIDs)
+	for i := range maxServedIDs {
+		is.True(!h.isFull() || i >= maxServedIDs-minServedIDs)
+		h.add("s"+strconv.Itoa(i), now.Add(time.Minute), now)
+	}
+	is.True(h.isFull())
+}
+
+// A target that responds within a millisecond serves more than 64 requests on a connection
+// before one that it has refused is sent again. That one must not get the connection on
+// which a late copy of the refusal may still arrive.
+func TestConnectionIsNotReusedUntilTheDeadline(t *testing.T) {
+	is := is.New(t)
+	l := listen(t, func(context.Context, *IncomingRequest) *Response {
+		return &Response{Status: http.StatusOK, Header: http.Header{}}
+	})
+	pool, closePool := NewPool(l.Address(), time.Second)
+	defer closePool()
+	send := func(id string, deadline time.Time) (reused bool) {
+		conn, err := pool.GetFor(t.Context(), time.Minute, id)
+		is.NoErr(err)
+		defer pool.Put(conn)
+		_, err = conn.Do(t.Context(), Request{Method: http.MethodGet, URI: "/", Host: "h", ID: id, Deadline: deadline}, func(http.Header) string { return "" }, nil)
+		is.NoErr(err)
+		return conn.Reused
+	}
+	deadline := time.Now().Add(time.Minute)
+	is.True(!send("refused", deadline))
+	for i := range 3 * minServedIDs {
+		is.True(send(strconv.Itoa(i), deadline))
+	}
+	is.True(!send("refused", deadline))
 }
--- a/connection/http1/request.go
+++ b/connection/http1/request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Request is a request to send to a peer.
@@ -16,6 +17,9 @@
 	// ID is compared with the ID of the response, to detect a response to another
 	// request.
 	ID string
+	// Deadline is until when the request may be sent again, with the same ID. The connection
+	// is not used for it before.
+	Deadline time.Time
 	// RequireID means that the peer repeats ID in its responses, so that a response
 	// without an ID belongs to another request.
 	RequireID bool
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -176,7 +176,7 @@
 	}, time.Now())
 	g.recordSent(gr)
 	resp, err := conn.Do(ctx, http1.Request{
-		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id,
+		Method: in.Method, URI: in.URI, Host: in.Host, Header: h, Body: body, ID: id, Deadline: req.Deadline,
 		// On a reused connection the response may be a late one to an earlier
 		// request.
 		RequireID: conn.Reused,
