gate: requests without an ID share no connection to the target

The responses to two requests that bear no ID are not told apart, so that a late second response to the first is taken for the response to the second when both go over one connection.

Change: a request without an ID gets a new connection.

--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -159,7 +159,12 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(responseGrace))
 	defer cancel()
 	maxIdle := maxIdleNonIdempotent
-	if req.Idempotent {
+	switch {
+	case id == "":
+		// A late response to an earlier request without an ID could not be told from the
+		// response to this one.
+		maxIdle = 0
+	case req.Idempotent:
 		maxIdle = maxIdleIdempotent
 	}
 	conn, err := g.targetConns.GetFor(ctx, maxIdle, id)
