gate, node, membership: a leave is confirmed once another process holds it

Cause: what a gate has confirmed was known to that gate alone.

Change: the incarnations of a target that have announced that they drain or leave are part of the node's record, as hashes. The gate closes at once; the target gets its 200 when the store has the record, or when another node has it and the store has failed or taken 0.3 s. If nobody holds it within 0.7 s, the target gets 503 and repeats the call. A restarted gate admits nothing until it has read the store and compared views with one other node; with the node alone after 1 s; after 3 s in any case. A node that restarts reads the store before it writes its own record, which would replace the former one, and a node that is sent a record without the sender's last departure replies with the former one. A leave that a target names in a response is recorded as well, but nobody waits for it.

Ruled out before: entries that remember announced leaves, as they do those in responses. The node is killed before any entry hears of it.

--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/platform"
-	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/logline"
 	"github.com/cuminwheel/cuminwheel/process/node"
 	"github.com/cuminwheel/cuminwheel/process/settings"
@@ -95,8 +94,8 @@
 		DecodeConfiguration: platform.DecodeConfiguration,
 		ConfigurationSource: platform.NewConfigurationSource(store),
 		Registry:            platform.NewNodeRegistry(store),
-		NewAnnouncementHandler: func(g *gate.Gate, l hclog.Logger) http.Handler {
-			return platform.AnnouncementHandler(g, l)
+		NewAnnouncementHandler: func(r node.AnnouncementReceiver, l hclog.Logger) http.Handler {
+			return platform.AnnouncementHandler(r, l)
 		},
 		ReadyPath:        platform.ReadyPath,
 		AnnouncementPath: platform.AnnouncementPath,
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -18,6 +18,8 @@
 		return outcome.Refused(outcome.CodeNoTarget, "the target beside this node is of service %s", g.options.Service)
 	case g.isDraining:
 		return outcome.Refused(outcome.CodeDraining, "the node is leaving")
+	case g.isRecovering:
+		return outcome.Refused(outcome.CodeNoTarget, "the node has restarted and does not know yet whether its target leaves")
 	case !g.target.isKnown:
 		return outcome.Refused(outcome.CodeNoTarget, "no target has announced itself")
 	case !g.target.isOpen():
--- a/process/gate/announcement_test.go
+++ b/process/gate/announcement_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
@@ -149,3 +150,60 @@
 		})
 	}
 }
+
+// A gate that has restarted must not open for an incarnation whose leave it confirmed
+// before, whether it learns of that before or after a late announcement. It admits nothing
+// until it has asked the others.
+func TestRestartedGateLearnsDepartures(t *testing.T) {
+	started := time.UnixMilli(5)
+	tests := []struct {
+		name    string
+		learned uint64
+		// arrivesFirst means that the late announcement arrives before the gate learns.
+		arrivesFirst bool
+		next         Announcement
+	}{
+		{"before the announcement", departureOf("i", started), false, announcement("j", 9, 1)},
+		{"after the announcement", departureOf("i", started), true, announcement("j", 9, 1)},
+		{"next incarnation under the same name", departureOf("i", started), false, announcement("i", 9, 1)},
+		{"of an incarnation without a known start", departureOf("i", time.Time{}), false, announcement("j", 9, 1)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate()
+			g.isRecovering = true
+			late := func() { _ = g.Announce(announcement("i", 5, 7)) } // a stale one is confirmed as well
+			if test.arrivesFirst {
+				late()
+				is.True(!g.State().Accepting)
+				_, problem := g.admit(t.Context(), requestWithin(0))
+				is.Equal(problem.Code, outcome.CodeNoTarget)
+			}
+			g.LearnDepartures([]uint64{1, test.learned})
+			g.EndRecovery()
+			late()
+			is.True(!g.State().Accepting)
+			is.NoErr(g.Announce(test.next))
+			is.True(g.State().Accepting)
+			late()
+			is.Equal(g.target.announced, test.next)
+		})
+	}
+}
+
+// The departures of a gate are those of its last incarnations, so that the list stays short
+// however often targets are replaced.
+func TestDeparturesAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := newGate()
+	for i := range int64(10) {
+		is.NoErr(g.Announce(announcement("i", i+1, 1)))
+		is.NoErr(g.Deregister(Deregistration{Instance: "i", StartedAt: time.UnixMilli(i + 1)}))
+	}
+	want := []uint64{}
+	for i := 6; i < 10; i++ {
+		want = append(want, departureOf("i", time.UnixMilli(int64(i+1))))
+	}
+	is.Equal(g.Departures(), want)
+}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -76,6 +76,9 @@
 	// ShutdownDeadline returns when requests in progress at a leaving node must
 	// have ended, or zero if the node is not leaving.
 	ShutdownDeadline func() time.Time
+	// Recovering means that the gate may have confirmed the leave of its target before it
+	// restarted. It admits nothing until EndRecovery.
+	Recovering bool
 }
 
 // Gate admits requests to the target beside a node and forwards them.
@@ -98,6 +101,9 @@
 	retryBudget retryBudget
 	gateCount   int
 	isDraining  bool
+	// isRecovering means that others have not been asked yet which leaves this gate has
+	// confirmed.
+	isRecovering bool
 	// limitTimer dispatches waiters when the target's limit admits one.
 	limitTimer *time.Timer
 	// losses holds the requests whose connections have ended lately, the oldest first;
@@ -115,7 +121,7 @@
 func New(o Options) (*Gate, func()) {
 	pool, closePool := http1.NewPool(o.Address, dialTimeout)
 	pool.SetBodyBudget(o.Bodies)
-	g := &Gate{options: o, targetConns: pool, startedAt: time.Now(), target: newTargetState(), gateCount: o.GateCount()}
+	g := &Gate{options: o, targetConns: pool, startedAt: time.Now(), target: newTargetState(), gateCount: o.GateCount(), isRecovering: o.Recovering}
 	g.shared.Seed = rand.Uint64()
 	g.retryBudget.quota = g.computeRetryQuota()
 	g.retryBudget.tokens = g.retryBudget.quota.capacity
@@ -199,10 +205,13 @@
 	return g.target.inFlight
 }
 
+// isOpen reports whether the gate admits requests. The caller holds mu.
+func (g *Gate) isOpen() bool { return g.target.isOpen() && !g.isDraining && !g.isRecovering }
+
 // describeAdmission returns the log value that says whether the gate admits
 // requests. The caller holds mu.
 func (g *Gate) describeAdmission() string {
-	if g.target.isOpen() && !g.isDraining {
+	if g.isOpen() {
 		return "open"
 	}
 	return "closed"
@@ -227,7 +236,7 @@
 // buildState is State for callers that hold mu.
 func (g *Gate) buildState(now time.Time) hopheader.GateState {
 	s := hopheader.GateState{
-		Accepting:   g.target.isOpen() && !g.isDraining,
+		Accepting:   g.isOpen(),
 		Suspected:   g.target.breaker.IsSuspected(now),
 		Outstanding: g.target.inFlight + g.queueLength(),
 		Slots:       g.target.announced.Slots,
--- a/process/gate/notice.go
+++ b/process/gate/notice.go
@@ -75,6 +75,7 @@
 	g.dropLosses(gr.startedAt)
 	if t.Leaving && !r.leaving {
 		r.leaving = true
+		g.target.departures = g.target.departures.with(departureOf(g.target.announced.Instance, g.target.announced.StartedAt))
 		g.options.Logger.Info("target named its leave", "request", id, "instance", gr.instance)
 		g.dispatchWaiters()
 	}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -21,9 +21,7 @@
 	// pendingAnnouncement is the last announcement of an incarnation that seems to be
 	// older than the current one, but may be a new one whose clock is behind.
 	pendingAnnouncement Announcement
-	// departed is the last deregistration of an incarnation other than the current one.
-	// Its announcements may still arrive.
-	departed Deregistration
+	departures          departures
 	// shedAt is when the target itself last shed a request.
 	shedAt time.Time
 	// inFlight is the number of slots in use.
@@ -45,7 +43,7 @@
 // slots with those of the last one. Restrictions of the same incarnation go on.
 func (t *targetState) renewed(identity uint64) targetState {
 	s := newTargetState()
-	s.inFlight, s.restrictions, s.departed = t.inFlight, t.restrictions, t.departed
+	s.inFlight, s.restrictions, s.departures = t.inFlight, t.restrictions, t.departures
 	if identity != t.restrictions.identity {
 		s.restrictions = restrictions{identity: identity}
 	}
@@ -72,10 +70,13 @@
 func (t *targetState) applyAnnouncement(a Announcement, now time.Time) (changed bool, err error) {
 	isSameIncarnation := a.Instance == t.announced.Instance && a.StartedAt.Equal(t.announced.StartedAt)
 	switch {
-	case t.departed.isOf(a):
+	case !t.isKnown && t.departures.includes(a):
+		// The gate has restarted since.
+		a.Draining = true
+	case !t.isKnown && !t.mayBeDeregistered(a):
+	case !isSameIncarnation && t.departures.includes(a):
 		return false, ErrStale
-	case !t.isKnown:
-	case isSameIncarnation:
+	case t.isKnown && isSameIncarnation:
 		// A deregistered incarnation never accepts requests again.
 		switch {
 		case t.hasDeregistered:
@@ -92,6 +93,7 @@
 		// An incarnation that drains never reopens.
 		a.Draining = a.Draining || t.announced.Draining
 		t.announced, t.lastAnnouncedAt = a, now
+		t.recordDeparture()
 		return changed, nil
 	case t.mayBeDeregistered(a) || !a.StartedAt.After(t.announced.StartedAt):
 		previous := t.pendingAnnouncement
@@ -103,17 +105,22 @@
 	}
 	*t = t.renewed(a.identity())
 	t.announced, t.isKnown, t.lastAnnouncedAt = a, true, now
+	t.recordDeparture()
 	return true, nil
 }
 
+// recordDeparture remembers that the current incarnation leaves, if it has announced that.
+func (t *targetState) recordDeparture() {
+	if t.hasDeregistered || t.announced.Draining {
+		t.departures = t.departures.with(departureOf(t.announced.Instance, t.announced.StartedAt))
+	}
+}
+
 // mayBeDeregistered reports whether an announcement may be a delayed one of a
 // deregistered incarnation. That is undecidable if only a deregistration without
 // a start time is known.
 func (t *targetState) mayBeDeregistered(a Announcement) bool {
-	if t.departed.StartedAt.IsZero() && t.departed.Instance == a.Instance {
-		return true
-	}
-	return t.hasDeregistered && t.announced.StartedAt.IsZero() && a.Instance == t.announced.Instance
+	return t.departures.mayInclude(a) || t.hasDeregistered && t.announced.StartedAt.IsZero() && a.Instance == t.announced.Instance
 }
 
 // applyDeregistration updates the state from a deregistration. That of an incarnation whose
@@ -125,10 +132,11 @@
 	case isCurrent:
 		changed = !t.hasDeregistered
 		t.hasDeregistered = true
+		t.recordDeparture()
 		return changed, nil
 	case t.isKnown && !d.StartedAt.After(t.announced.StartedAt):
 		// It may also be a new one whose clock is behind.
-		t.departed = d
+		t.departures = t.departures.with(departureOf(d.Instance, d.StartedAt))
 		return false, ErrStale
 	}
 	a := Announcement{Instance: d.Instance, StartedAt: d.StartedAt}
@@ -139,10 +147,6 @@
 	t.lastAnnouncedAt = now
 	t.announced = a
 	t.isKnown, t.hasDeregistered = true, true
+	t.recordDeparture()
 	return true, nil
 }
-
-// isOf reports whether an announcement is one of the incarnation that has deregistered.
-func (d Deregistration) isOf(a Announcement) bool {
-	return d.Instance != "" && d.Instance == a.Instance && d.StartedAt.Equal(a.StartedAt)
-}
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -128,7 +128,7 @@
 			version, _ := g.configurations.Newest()
 			g.advertiseVersion(ctx, version)
 		case <-time.After(wait):
-			g.compare(ctx)
+			g.Compare(ctx)
 		}
 	}
 }
@@ -147,7 +147,7 @@
 	for range fanout {
 		go func() {
 			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(versionDelay)))
-			g.compare(ctx)
+			g.Compare(ctx)
 		}()
 	}
 }
@@ -219,10 +219,20 @@
 		if !ok {
 			return
 		}
-		go g.call(ctx, peer, methodTell, Message{Sender: g.self(), Records: updates}, &Message{})
+		go g.tell(ctx, peer, updates)
 	}
 }
 
+// tell sends records to a peer and reports whether the peer has them now.
+func (g *Gossiper) tell(ctx context.Context, peer Record, records []Record) bool {
+	var reply Message
+	if !g.call(ctx, peer, methodTell, Message{Sender: g.self(), Records: records}, &reply) {
+		return false
+	}
+	g.Merge(reply.Records)
+	return true
+}
+
 // pushEvidence sends records, together with all that are queued, to a few random nodes
 // of any region: a request that crashes targets may come again anywhere.
 func (g *Gossiper) pushEvidence(ctx context.Context, records []quarantine.Record) {
@@ -252,44 +262,46 @@
 	}
 }
 
-// PushAndWait sends a record to a few random nodes and waits for their replies.
-func (g *Gossiper) PushAndWait(ctx context.Context, r Record) {
-	done := make(chan struct{}, fanout)
+// PushAndWait sends a record to a few random nodes, waits for their replies and returns
+// how many of the nodes have the record.
+func (g *Gossiper) PushAndWait(ctx context.Context, r Record) (holders int) {
+	told := make(chan bool, fanout)
 	for range fanout {
 		go func() {
-			if peer, ok := g.pickPeer(); ok {
-				g.call(ctx, peer, methodTell, Message{Sender: g.self(), Records: []Record{r}}, &Message{})
-			}
-			done <- struct{}{}
+			peer, ok := g.pickPeer()
+			told <- ok && g.tell(ctx, peer, []Record{r})
 		}()
 	}
 	for range fanout {
-		<-done
+		if <-told {
+			holders++
+		}
 	}
+	return holders
 }
 
-// compare compares the view with that of a random node.
-func (g *Gossiper) compare(ctx context.Context) {
-	if peer, ok := g.pickPeer(); ok {
-		g.compareWith(ctx, peer)
-	}
+// Compare compares the view with that of a random node and reports whether that node
+// replied. A node that has restarted learns so what the others hold of it.
+func (g *Gossiper) Compare(ctx context.Context) bool {
+	peer, ok := g.pickPeer()
+	return ok && g.compareWith(ctx, peer)
 }
 
 // compareWith exchanges digests and configuration versions with a peer. If the
 // views differ, both nodes send each other the records in the buckets that
-// differ.
-func (g *Gossiper) compareWith(ctx context.Context, peer Record) {
+// differ. It reports whether the exchange is complete.
+func (g *Gossiper) compareWith(ctx context.Context, peer Record) bool {
 	request := Message{Sender: g.self(), Digest: g.view.Digest()}
 	request.EvidenceDigest = g.evidence.Digest(time.Now())
 	request.ConfigurationVersion, request.ConfigurationHolder = g.newestKnownVersion()
 	var reply Message
 	if !g.call(ctx, peer, methodCompare, request, &reply) {
-		return
+		return false
 	}
 	g.recordRemoteVersion(cmp.Or(reply.ConfigurationHolder, peer.ControlAddress), reply.ConfigurationVersion)
 	g.compareEvidence(ctx, peer, reply)
 	if len(reply.BucketDigests) == 0 {
-		return
+		return true
 	}
 	digests := g.view.BucketDigests(len(reply.BucketDigests))
 	push := Message{Sender: g.self(), BucketCount: len(digests)}
@@ -299,13 +311,15 @@
 		}
 	}
 	if len(push.WantedBuckets) == 0 {
-		return
+		return true
 	}
 	push.Records = g.view.RecordsInBuckets(push.WantedBuckets, push.BucketCount)
 	var wanted Message
-	if g.call(ctx, peer, methodTell, push, &wanted) {
-		g.Merge(wanted.Records)
+	if !g.call(ctx, peer, methodTell, push, &wanted) {
+		return false
 	}
+	g.Merge(wanted.Records)
+	return true
 }
 
 // newestKnownVersion returns the newest configuration version that the node has
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -32,11 +32,15 @@
 }
 
 // Tell merges the pushed records and replies with those in the wanted buckets,
-// as they were before the merge.
+// as they were before the merge, and with the sender's own one if the sender has
+// forgotten its departures.
 func (r *Receiver) Tell(request Message, reply *Message) error {
 	g := r.gossiper
 	request = request.checked()
 	wanted := g.view.RecordsInBuckets(request.WantedBuckets, request.BucketCount)
+	if old, ok := g.view.forgottenRecord(request.Sender, request.Records); ok {
+		wanted = append(wanted, old)
+	}
 	g.Merge(request.Records)
 	g.evidence.Merge(request.Evidence, time.Now())
 	reply.Records = wanted
--- a/process/membership/record.go
+++ b/process/membership/record.go
@@ -23,6 +23,10 @@
 	// process in Unix ms, or one more than the incarnation of a foreign record of
 	// the address that is as new or newer.
 	Incarnation int64 `json:"issue" codec:"i"`
+	// Departures identifies, by hashes, the incarnations of the target that have announced
+	// to the node that they leave, the earliest first. The others keep the list for the
+	// node, which forgets it when its process is killed.
+	Departures string `json:"departures,omitempty" codec:"l,omitempty"`
 	// Gone means that the node left for good.
 	Gone bool `json:"gone,omitempty" codec:"x,omitempty"`
 }
@@ -42,6 +46,8 @@
 	c.Label("data_centre", r.DataCentre)
 	c.Label("region", r.Region)
 	c.StartTime("issue", r.Incarnation, now, maxClockSkew)
+	_, err := ParseDepartures(r.Departures)
+	c.Require(err == nil, "departures", "%s is %v", field.Quote(r.Departures), errDepartures)
 	return c.Err()
 }
 
@@ -60,6 +66,8 @@
 		d.WriteString(s)
 		d.Write([]byte{0})
 	}
+	// Nodes of older versions hash records without departures alike.
+	d.WriteString(r.Departures)
 	var b [9]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(r.Incarnation))
 	if r.Gone {
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -17,6 +17,8 @@
 	version uint64
 	// countByService counts the nodes of each service that have not left.
 	countByService map[string]int
+	// onOwnRecord, if not nil, is called for records of the node itself from elsewhere.
+	onOwnRecord func(departures string)
 	// sorted is the result of Nodes; nil if the view has changed since.
 	sorted []Record
 }
@@ -47,10 +49,18 @@
 
 // Merge stores the records that are valid and new to the view and returns them.
 // If a record of the node's own address comes from elsewhere and its own record
-// doesn't supersede it, Merge raises the own incarnation above it and returns
-// the new own record among the updates.
+// doesn't supersede it, or lacks departures of it, Merge raises the own incarnation
+// above it and returns the new own record among the updates.
 func (v *View) Merge(records []Record) (updates []Record) {
-	now := time.Now()
+	updates, isOwn := v.merge(records, time.Now())
+	if isOwn && v.onOwnRecord != nil {
+		v.onOwnRecord(v.Self().Departures)
+	}
+	return updates
+}
+
+// merge implements Merge. isOwn means that a record is of the node itself.
+func (v *View) merge(records []Record, now time.Time) (updates []Record, isOwn bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range records {
@@ -58,9 +68,8 @@
 			continue
 		}
 		if r.ControlAddress == v.self.ControlAddress {
-			if r != v.self && !v.self.supersedes(r) {
-				v.self.Incarnation = r.Incarnation + 1
-				v.put(v.self)
+			isOwn = true
+			if v.mergeOwn(r) {
 				updates = append(updates, v.self)
 			}
 			continue
@@ -72,7 +81,20 @@
 		v.put(r)
 		updates = append(updates, r)
 	}
-	return updates
+	return updates, isOwn
+}
+
+// mergeOwn applies a record of the node's own address and reports whether the own record
+// has changed. The caller holds mu.
+func (v *View) mergeOwn(r Record) (changed bool) {
+	departures := uniteDepartures(r.Departures, v.self.Departures)
+	if r == v.self || v.self.supersedes(r) && departures == v.self.Departures {
+		return false
+	}
+	v.self.Departures = departures
+	v.self.Incarnation = max(v.self.Incarnation, r.Incarnation) + 1
+	v.put(v.self)
+	return true
 }
 
 // Leave marks the node's own record as gone and returns it.
--- /dev/null
+++ b/process/node/departures.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/process/gate"
+	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// holdTimeout limits how long a target waits for the confirmation of its leave. It
+	// gives up a call after a second.
+	holdTimeout = 700 * time.Millisecond
+	// storePatience is how long the store may take before a leave that only other nodes
+	// hold is confirmed. Only the store survives when all processes are killed.
+	storePatience = 300 * time.Millisecond
+	// recoveryTimeout is how long a restarted gate stays closed at most while it cannot
+	// learn from others which leaves it has confirmed.
+	recoveryTimeout = 3 * time.Second
+	// recoveryPatience is how long the store may take before another node alone is
+	// believed.
+	recoveryPatience = time.Second
+	// recoveryInterval is the time between two attempts to learn from others.
+	recoveryInterval = 50 * time.Millisecond
+)
+
+// target handles the calls of the target beside the node. It confirms that the target
+// leaves only once a process other than this one holds that, since this one may be killed.
+type target struct {
+	node *Node
+	// ctx ends when the node stops.
+	ctx context.Context
+
+	// holding serialises the calls of hold.
+	holding sync.Mutex
+	// held is the value of Record.Departures that others hold.
+	held string
+}
+
+// Announce passes an announcement to the gate.
+func (t *target) Announce(a gate.Announcement) error {
+	err := t.node.gate.Announce(a)
+	switch {
+	case err != nil && !errors.Is(err, gate.ErrStale):
+	case a.Draining:
+		if holdErr := t.hold(); holdErr != nil {
+			return holdErr
+		}
+	case t.departures() != t.node.view.Self().Departures:
+		// The target has said in a response that it leaves. Nobody waits for the
+		// confirmation of that.
+		go t.hold()
+	}
+	return err
+}
+
+// Deregister passes the leave of the target to the gate.
+func (t *target) Deregister(d gate.Deregistration) error {
+	err := t.node.gate.Deregister(d)
+	if err == nil || errors.Is(err, gate.ErrStale) {
+		if holdErr := t.hold(); holdErr != nil {
+			return holdErr
+		}
+	}
+	return err
+}
+
+func (t *target) departures() string { return membership.FormatDepartures(t.node.gate.Departures()) }
+
+// hold returns once the store, or another node if the store does not respond, holds the
+// departures that the gate knows. Otherwise it returns gate.ErrNotHeld.
+func (t *target) hold() error {
+	t.holding.Lock()
+	defer t.holding.Unlock()
+	departures := t.departures()
+	if departures == t.held {
+		return nil
+	}
+	start := time.Now()
+	self := t.node.view.SetDepartures(departures)
+	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout)
+	defer cancel()
+	stored, told := make(chan bool, 1), make(chan int, 1)
+	go func() { stored <- t.node.writeOwnRecord(ctx) }()
+	go func() { told <- t.node.gossiper.PushAndWait(ctx, self) }()
+	isStored, holders := awaitHolder(stored, told)
+	afterMillis := time.Since(start).Milliseconds()
+	if !isStored && holders == 0 {
+		t.node.logger.Warn("leave of the target not confirmed: no other process holds it", "departures", departures, "after_ms", afterMillis)
+		return gate.ErrNotHeld
+	}
+	t.node.logger.Info("leave of the target held by others", "departures", departures, "stored", isStored, "nodes", holders, "after_ms", afterMillis)
+	t.held = departures
+	if !isStored {
+		go retry(t.ctx, func() bool { return t.node.writeOwnRecord(t.ctx) })
+	}
+	return nil
+}
+
+// awaitHolder waits until the store holds a record, or nodes do and the store has failed or
+// is late. stored and told deliver one result each: whether the store has the record, and
+// how many nodes do.
+func awaitHolder(stored <-chan bool, told <-chan int) (isStored bool, holders int) {
+	late := time.After(storePatience)
+	isLate := false
+	for {
+		select {
+		case isStored = <-stored:
+			stored = nil
+		case holders = <-told:
+			told = nil
+		case <-late:
+			isLate = true
+		}
+		hasStoreFailed := stored == nil && !isStored
+		switch {
+		case isStored, holders > 0 && (hasStoreFailed || isLate), hasStoreFailed && told == nil:
+			return isStored, holders
+		}
+	}
+}
+
+// learnDepartures passes what others hold of the node's target to the gate.
+func (n *Node) learnDepartures(departures string) {
+	if list, err := membership.ParseDepartures(departures); err == nil {
+		n.gate.LearnDepartures(list)
+	}
+}
+
+// recoverDepartures opens the gate of a restarted node once it has learned which leaves it
+// confirmed before: from the store and one other node, from the node alone if the store
+// does not respond soon, or from the store alone if there is no other node.
+func (n *Node) recoverDepartures(ctx context.Context) {
+	outcome := "no other process reached"
+	for ctx.Err() == nil && time.Since(n.startedAt) < recoveryTimeout {
+		isStoreDone := n.hasReadNodes.Load()
+		isAlone := len(n.view.Nodes()) <= 1
+		if isAlone && isStoreDone {
+			outcome = "store"
+			break
+		}
+		if !isAlone && (isStoreDone || time.Since(n.startedAt) > recoveryPatience) && n.gossiper.Compare(ctx) {
+			outcome = "another node"
+			break
+		}
+		sleep(ctx, recoveryInterval)
+	}
+	n.gate.EndRecovery()
+	n.logger.Info("gate may open", "learned_from", outcome, "stored", n.hasReadNodes.Load(), "departures", n.view.Self().Departures,
+		"after_ms", time.Since(n.startedAt).Milliseconds())
+}
--- a/process/node/http.go
+++ b/process/node/http.go
@@ -42,7 +42,7 @@
 // beside the node calls.
 func (n *Node) newAdminHandler() http.Handler {
 	e := echo.New()
-	e.POST(n.platform.AnnouncementPath, echo.WrapHandler(n.platform.NewAnnouncementHandler(n.gate, n.logger.Named("announcement"))))
+	e.POST(n.platform.AnnouncementPath, echo.WrapHandler(n.platform.NewAnnouncementHandler(n.target, n.logger.Named("announcement"))))
 	e.GET("/metrics", n.writeMetrics)
 	return e
 }
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -18,10 +18,11 @@
 
 // join registers the node's record in the store and reads the records of the
 // others. From then on gossip spreads the records. A node that restarts reads the
-// store first as well, since the others are already registered.
+// store first as well: the others are already registered, and its own former record may
+// have departures that must not be overwritten.
 func (n *Node) join(ctx context.Context) {
 	if !n.settings.Bootstrap {
-		n.readNodes(ctx)
+		retry(ctx, func() bool { return n.readNodes(ctx) })
 	}
 	retry(ctx, func() bool { return n.writeOwnRecord(ctx) })
 	sleep(ctx, settleTime)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -46,6 +46,13 @@
 	Reverted() <-chan struct{}
 }
 
+// AnnouncementReceiver handles the calls of the target beside a node. Errors are those of
+// the gate, and gate.ErrNotHeld.
+type AnnouncementReceiver interface {
+	Announce(gate.Announcement) error
+	Deregister(gate.Deregistration) error
+}
+
 // Platform holds what a node needs from the platform that it runs on.
 type Platform struct {
 	Headers             Headers
@@ -53,7 +60,7 @@
 	ConfigurationSource follower.Source
 	Registry            Registry
 	// NewAnnouncementHandler returns the handler of the target's announcements.
-	NewAnnouncementHandler func(*gate.Gate, hclog.Logger) http.Handler
+	NewAnnouncementHandler func(AnnouncementReceiver, hclog.Logger) http.Handler
 	// ReadyPath is the path of the platform's readiness checks.
 	ReadyPath string
 	// AnnouncementPath is the path that the target sends its announcements to.
@@ -73,6 +80,7 @@
 	view     *membership.View
 	gossiper *membership.Gossiper
 	gate     *gate.Gate
+	target   *target
 	entry    *entry.Entry
 	// quarantine holds the requests that crash targets.
 	quarantine *quarantine.Table
@@ -125,6 +133,7 @@
 		ControlAddress: cmp.Or(s.AdvertisedControl, s.Control), GateAddress: cmp.Or(s.AdvertisedGate, s.Gate), Service: s.Service, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: time.Now().UnixMilli(),
 	})
+	n.view.WithOwnRecordHandler(n.learnDepartures)
 	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.view, n.logger.Named("configuration"))
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
@@ -136,10 +145,11 @@
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline,
+		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap,
 		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
+	n.target = &target{node: n, ctx: ctx}
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
@@ -156,6 +166,9 @@
 	n.startTask(func() { n.gossiper.Run(ctx) })
 	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
+	if !s.Bootstrap {
+		n.startTask(func() { n.recoverDepartures(ctx) })
+	}
 	reverted := n.platform.Registry.Reverted()
 	n.startTask(func() { n.restoreRecords(ctx, reverted) })
 	return nil
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/platform"
-	"github.com/cuminwheel/cuminwheel/process/gate"
 	"github.com/cuminwheel/cuminwheel/process/node"
 	"github.com/cuminwheel/cuminwheel/process/settings"
 	"github.com/cuminwheel/cuminwheel/standin/caller"
@@ -141,8 +140,10 @@
 	n, leave, err := node.Start(v.settings, node.Platform{
 		Headers: platform.Headers{}, DecodeConfiguration: f.decode,
 		ConfigurationSource: platform.NewConfigurationSource(client), Registry: platform.NewNodeRegistry(client),
-		NewAnnouncementHandler: func(g *gate.Gate, l hclog.Logger) http.Handler { return platform.AnnouncementHandler(g, l) },
-		ReadyPath:              platform.ReadyPath, AnnouncementPath: platform.AnnouncementPath,
+		NewAnnouncementHandler: func(r node.AnnouncementReceiver, l hclog.Logger) http.Handler {
+			return platform.AnnouncementHandler(r, l)
+		},
+		ReadyPath: platform.ReadyPath, AnnouncementPath: platform.AnnouncementPath,
 	}, hclog.NewNullLogger())
 	if err != nil {
 		f.t.Fatal(err)
