soak: odd entries, and nodes that are killed after the leave of their target

A fleet has converged only if every node counts exactly the nodes that exist, and an odd call must not be confirmed. The drain of targets takes 2 s, so that a restarted node is back within it, and a stand-in target repeats a drain that is not confirmed twice.

--- a/cmd/cuminwheel/standin_target.go
+++ b/cmd/cuminwheel/standin_target.go
@@ -25,6 +25,7 @@
 			&cli.IntFlag{Name: "slots", Value: 3, Usage: "number of requests processed concurrently"},
 			&cli.DurationFlag{Name: "work", Value: 20 * time.Millisecond, Usage: "processing time of a request"},
 			&cli.DurationFlag{Name: "drain", Value: time.Second, Usage: "how long to keep serving after the node has confirmed that the target drains"},
+			&cli.DurationFlag{Name: "late-announcement", Usage: "how long after the node has confirmed that the target drains an earlier announcement arrives again; 0 means never"},
 			stringFlag("ran-file", "", "append the ID of each request that starts to this file, for an audit"),
 		},
 		Action: runStandinTarget,
@@ -36,6 +37,7 @@
 	announcer := &target.Announcer{
 		AdminAddress: c.String("admin"), Instance: fmt.Sprintf("standin-%x", startedAt.UnixNano()), Service: c.String("service"),
 		Address: c.String("listen"), Slots: c.Int("slots"), StartedAt: startedAt, DrainTime: c.Duration("drain"),
+		LateAfter: c.Duration("late-announcement"),
 	}
 	announcement := gate.Announcement{Instance: announcer.Instance, Service: announcer.Service, Address: announcer.Address, Slots: announcer.Slots, StartedAt: startedAt}
 	if err := announcement.Validate(time.Now()); err != nil {
--- a/soak/audit.go
+++ b/soak/audit.go
@@ -33,7 +33,7 @@
 	if e.kind == faultKillAll {
 		return true
 	}
-	return node == e.node && slices.Contains([]string{faultKill, faultTerminate, faultPause, faultLink, faultReset}, e.kind)
+	return node == e.node && slices.Contains([]string{faultKill, faultKillAfterLeave, faultTerminate, faultPause, faultLink, faultReset}, e.kind)
 }
 
 // recordFault records that the node of an event is out of touch, or that the store delays
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -27,6 +27,10 @@
 // callers send. The schedule removes and adds keys and lowers a quota, and the audits of
 // phase 5 also cover keys and quotas.
 //
+// Other writers leave odd records among those of the nodes and make odd calls; none of these
+// may count as a node or be confirmed. Nodes are killed right after they have confirmed
+// the leave of their target, whose earlier announcement then arrives again (odd.go).
+//
 // During phases 2 to 4 the configuration versions of the nodes are polled: no node
 // may revert to an older version while its process runs, and each node in touch must have
 // a version 3 s after its publication, also when the connections of all nodes have fallen
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -141,6 +141,12 @@
 		if err := f.publishCustomers(ctx, e.changeCustomers); err != nil {
 			f.recordViolation("publish: %v", err)
 		}
+	case faultOddRecord:
+		f.writeOddRecords(ctx, e.node)
+	case faultOddCall:
+		f.makeOddCalls(ctx, e.node)
+	case faultKillAfterLeave:
+		f.killAfterLeave(e.node)
 	case faultKillAll:
 		for _, n := range f.nodes {
 			n.signal(syscall.SIGKILL)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -90,7 +90,8 @@
 		events = append(events, event{at: duration - lastFaultMargin, kind: faultKillAll})
 	}
 	events = insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
-	return insertCustomerChanges(insertSilence(events, seed, nodes, duration), seed, duration)
+	events = insertOddEntries(insertSilence(events, seed, nodes, duration), seed, nodes, duration)
+	return insertCustomerChanges(events, seed, duration)
 }
 
 // insertSilence adds connections of all nodes that fall silent, with a version that is
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,7 +59,7 @@
 	startTimeout     = 20 * time.Second
 	settleTimeout    = 15 * time.Second
 	grace            = 4 * time.Second
-	drainTime        = time.Second
+	drainTime        = 2 * time.Second
 	recoveryLoadTime = 2 * time.Second
 	pollInterval     = 200 * time.Millisecond
 	callerTimeout    = 1500 * time.Millisecond
@@ -249,7 +249,7 @@
 		"--region", fmt.Sprintf("r%d", i/4), "--data-centre", fmt.Sprintf("d%d", i/2), "--grace", grace.String()))
 	f.targets = append(f.targets, f.newProcess(fmt.Sprintf("target%d", i), "standin", "target",
 		"--listen", f.address(i, portTarget), "--admin", f.address(i, portAdmin), "--service", f.serviceOf(i),
-		"--drain", drainTime.String(), "--ran-file", f.executionFile(i)))
+		"--drain", drainTime.String(), "--late-announcement", lateAnnouncement.String(), "--ran-file", f.executionFile(i)))
 	if err := f.nodes[i].start(); err != nil {
 		return err
 	}
@@ -312,7 +312,7 @@
 		pending = nil
 		for i := range f.nodes {
 			s, err := f.fetchStatus(ctx, i)
-			isConverged := err == nil && s.Ready && s.GateOpen && s.Nodes >= len(f.nodes) && s.ConfigurationVersion == f.version
+			isConverged := err == nil && s.Ready && s.GateOpen && s.Nodes == len(f.nodes) && s.ConfigurationVersion == f.version
 			if !isConverged {
 				pending = append(pending, fmt.Sprintf("node %d: %+v %v", i, s, err))
 			}
--- a/standin/target/announcer.go
+++ b/standin/target/announcer.go
@@ -26,6 +26,9 @@
 	// DrainTime is how long the target goes on serving after the node has confirmed
 	// that it drains.
 	DrainTime time.Duration
+	// LateAfter is how long after that confirmation the last announcement that the target
+	// was ready arrives again, as one that the network has delayed; 0 means never.
+	LateAfter time.Duration
 	// OnDrainConfirmed, if set, is called when the node has confirmed that the target
 	// drains.
 	OnDrainConfirmed func()
@@ -57,12 +60,16 @@
 // Deregister announces that the target drains, waits for DrainTime while the target goes
 // on serving and then deregisters it.
 func (a *Announcer) Deregister(ctx context.Context) error {
-	if err := a.announce(ctx, "draining"); err != nil {
+	late := a.encode("ready", a.nextSequence())
+	if err := a.announceDrain(ctx); err != nil {
 		return err
 	}
 	if a.OnDrainConfirmed != nil {
 		a.OnDrainConfirmed()
 	}
+	if a.LateAfter > 0 {
+		time.AfterFunc(a.LateAfter, func() { _ = a.post(ctx, heartbeatCall, late) }) // nobody waits for it
+	}
 	time.Sleep(a.DrainTime)
 	return a.post(ctx, "instances.deregister", map[string]any{"born": a.StartedAt.UnixMilli()})
 }
@@ -70,15 +77,38 @@
 // announce sends the state of the target with a sequence number that grows with each
 // announcement.
 func (a *Announcer) announce(ctx context.Context, state string) error {
+	return a.post(ctx, heartbeatCall, a.encode(state, a.nextSequence()))
+}
+
+// drainAttempts is how often a target that ends announces that it drains.
+const drainAttempts = 3
+
+// announceDrain announces that the target drains until the node confirms it.
+func (a *Announcer) announceDrain(ctx context.Context) error {
+	for i := 1; ; i++ {
+		err := a.announce(ctx, "draining")
+		if err == nil || i == drainAttempts {
+			return err
+		}
+		time.Sleep(announceInterval)
+	}
+}
+
+func (a *Announcer) nextSequence() int64 {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.sequence++
-	sequence := a.sequence
-	a.mu.Unlock()
-	return a.post(ctx, "instances.heartbeat", map[string]any{
+	return a.sequence
+}
+
+const heartbeatCall = "instances.heartbeat"
+
+func (a *Announcer) encode(state string, sequence int64) map[string]any {
+	return map[string]any{
 		"address": a.Address, "born": a.StartedAt.UnixMilli(),
 		"info":   map[string]any{"service": a.Service, "version": "v1", "zone": "", "slots": a.Slots},
 		"status": map[string]any{"state": state, "seq": sequence, "cold_remaining": "0ms"},
-	})
+	}
 }
 
 func (a *Announcer) post(ctx context.Context, call string, body any) error {
