gate, entry, node: a restarted gate also asks the nodes that probe it

Seen: none by callers; TestConfirmedLeaveOutlivesTheGate "store is away" failed once under the race detector: no other node had compared views with the restarted one within 3 s.

Cause: while the store does not respond, a restarted node knows no other, and each node compares views with one random other a second. In a large fleet 1 in 20 restarted nodes hears of none within 3 s, and would open its gate with a late announcement.

Change: entries that have lost a gate probe it until it is back; their probes now name their node, and the gate has it asked. So whoever had requests for the gate is asked within the 0.25 to 2 s of its probes. Without any the gate opens after 5 s, not 3. A call between nodes whose time is over is not sent any more; a stopped node could be announced as gone that way. A leave of a node that has left for good itself does not count as stored, since the store has no record of it.

--- a/connection/hopheader/hopheader.go
+++ b/connection/hopheader/hopheader.go
@@ -44,6 +44,9 @@
 	// IsStateQuery means that there is no request to run: the entry only
 	// queries the gate's state.
 	IsStateQuery bool
+	// Node is the control address of the entry's node. It is sent with state queries only, so
+	// that a gate which has restarted learns of a node to ask.
+	Node string
 	// Idempotent means that the request may run more than once.
 	Idempotent bool
 	// RouteHash is the same for all requests of a route, so that the gate can
@@ -98,6 +101,9 @@
 			b.WriteString(";" + f.name + "=1")
 		}
 	}
+	if r.IsStateQuery && r.Node != "" {
+		b.WriteString(";m=" + r.Node)
+	}
 	if r.Customer != "" {
 		b.WriteString(";u=" + url.QueryEscape(r.Customer))
 	}
@@ -126,13 +132,17 @@
 		return Request{}, ErrMalformed
 	}
 	routeHash, _ := strconv.ParseUint(params["t"], 36, 32)
+	var c field.Checker
+	if c.Address("m", params["m"]); c.Err() != nil {
+		params["m"] = ""
+	}
 	var notice Notice
 	if params["e"] != "" {
 		notice = extractNotice(params)
 	}
 	return Request{
 		Service: params["s"], CallerService: params["c"], Priority: priority, RouteHash: uint32(routeHash),
-		IsStateQuery: params["q"] != "", Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "", EntryLeaves: params["l"] != "",
+		IsStateQuery: params["q"] != "", Node: params["m"], Idempotent: params["i"] != "", IsRetry: params["r"] != "", RetryCharged: params["k"] != "", CanRetry: params["f"] != "", EntryLeaves: params["l"] != "",
 		SoftDeadline:  arrived.Add(field.Millis(softMillis)),
 		Deadline:      arrived.Add(field.Millis(deadlineMillis)),
 		QueueDeadline: arrived.Add(field.Millis(queueMillis)),
--- a/connection/peerrpc/pool.go
+++ b/connection/peerrpc/pool.go
@@ -61,6 +61,9 @@
 // call is retried on a new one, so methods must be idempotent.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	for {
+		if ctx.Err() != nil {
+			return errors.Wrap(ErrUnreachable, ctx.Err().Error())
+		}
 		c, isReused, err := p.clientFor(ctx, address)
 		if err != nil {
 			return err
--- a/process/entry/probe.go
+++ b/process/entry/probe.go
@@ -58,7 +58,7 @@
 	defer c.pool.Put(conn)
 	now := time.Now()
 	h := http.Header{}
-	hopheader.Request{IsStateQuery: true, Service: e.options.Service, SoftDeadline: now, Deadline: now.Add(probeTimeout), QueueDeadline: now}.Inject(h, now)
+	hopheader.Request{IsStateQuery: true, Node: e.options.Node, Service: e.options.Service, SoftDeadline: now, Deadline: now.Add(probeTimeout), QueueDeadline: now}.Inject(h, now)
 	resp, err := conn.Do(ctx, http1.Request{Method: http.MethodGet, URI: "/", Host: c.address, Header: h}, e.options.Headers.ResponseRequestID, nil)
 	if err != nil {
 		return hopheader.GateState{}, err
--- a/process/gate/announcement_test.go
+++ b/process/gate/announcement_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/connection/hopheader"
+	"github.com/cuminwheel/cuminwheel/connection/http1"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -207,3 +210,24 @@
 	}
 	is.Equal(g.Departures(), want)
 }
+
+// A gate that recovers must report the nodes that query its state: while the store does not
+// respond, it may know no other to ask.
+func TestRecoveringGateReportsProbers(t *testing.T) {
+	is := is.New(t)
+	var reported []string
+	g := newGate()
+	g.isRecovering = true
+	g.options.OnProbe = func(node string) { reported = append(reported, node) }
+	probe := func(node string) {
+		now, h := time.Now(), http.Header{}
+		hopheader.Request{IsStateQuery: true, Node: node, Service: "s", SoftDeadline: now, Deadline: now, QueueDeadline: now}.Inject(h, now)
+		is.Equal(g.Serve(t.Context(), &http1.IncomingRequest{Header: h, ReceivedAt: now}).Status, http.StatusNoContent)
+	}
+	probe("10.0.0.2:1")
+	probe("10.0.0.2:70000") // no address
+	probe("")
+	g.EndRecovery()
+	probe("10.0.0.3:1")
+	is.Equal(reported, []string{"10.0.0.2:1"})
+}
--- a/process/gate/departures.go
+++ b/process/gate/departures.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// reportProber reports a node that queries the gate's state, which may know what the gate
+// has confirmed.
+func (g *Gate) reportProber(node string) {
+	g.mu.Lock()
+	isRecovering := g.isRecovering
+	g.mu.Unlock()
+	if isRecovering && node != "" && g.options.OnProbe != nil {
+		g.options.OnProbe(node)
+	}
+}
+
 // EndRecovery ends the time in which a restarted gate admits nothing because it may have
 // confirmed the leave of its target before.
 func (g *Gate) EndRecovery() {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -79,6 +79,9 @@
 	// Recovering means that the gate may have confirmed the leave of its target before it
 	// restarted. It admits nothing until EndRecovery.
 	Recovering bool
+	// OnProbe, if not nil, is called while the gate recovers, with the control address of
+	// each node whose entry queries the gate's state.
+	OnProbe func(node string)
 }
 
 // Gate admits requests to the target beside a node and forwards them.
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -39,6 +39,7 @@
 	case err != nil:
 		problem = outcome.Refused(outcome.CodeBadRequest, "%v", err)
 	case req.IsStateQuery:
+		g.reportProber(req.Node)
 		resp = &http1.Response{Status: http.StatusNoContent, Header: http.Header{}}
 		hopheader.Response{State: g.State()}.Inject(resp.Header, time.Now())
 		return resp
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -287,6 +287,11 @@
 	return ok && g.compareWith(ctx, peer)
 }
 
+// CompareWith is Compare with the node at a control address, which the view need not know.
+func (g *Gossiper) CompareWith(ctx context.Context, address string) bool {
+	return g.compareWith(ctx, Record{ControlAddress: address})
+}
+
 // compareWith exchanges digests and configuration versions with a peer. If the
 // views differ, both nodes send each other the records in the buckets that
 // differ. It reports whether the exchange is complete.
--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -19,12 +20,14 @@
 	storePatience = 300 * time.Millisecond
 	// recoveryTimeout is how long a restarted gate stays closed at most while it cannot
 	// learn from others which leaves it has confirmed.
-	recoveryTimeout = 3 * time.Second
+	recoveryTimeout = 5 * time.Second
 	// recoveryPatience is how long the store may take before another node alone is
 	// believed.
 	recoveryPatience = time.Second
 	// recoveryInterval is the time between two attempts to learn from others.
 	recoveryInterval = 50 * time.Millisecond
+	// maxProbers bounds the nodes that are kept to be asked.
+	maxProbers = 8
 )
 
 // target handles the calls of the target beside the node. It confirms that the target
@@ -84,7 +87,8 @@
 	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout)
 	defer cancel()
 	stored, told := make(chan bool, 1), make(chan int, 1)
-	go func() { stored <- t.node.writeOwnRecord(ctx) }()
+	// The store has no record of a node that has left for good.
+	go func() { stored <- t.node.writeOwnRecord(ctx) && !self.Gone }()
 	go func() { told <- t.node.gossiper.PushAndWait(ctx, self) }()
 	isStored, holders := awaitHolder(stored, told)
 	afterMillis := time.Since(start).Milliseconds()
@@ -94,7 +98,7 @@
 	}
 	t.node.logger.Info("leave of the target held by others", "departures", departures, "stored", isStored, "nodes", holders, "after_ms", afterMillis)
 	t.held = departures
-	if !isStored {
+	if !isStored && !self.Gone {
 		go retry(t.ctx, func() bool { return t.node.writeOwnRecord(t.ctx) })
 	}
 	return nil
@@ -134,21 +138,46 @@
 // confirmed before: from the store and one other node, from the node alone if the store
 // does not respond soon, or from the store alone if there is no other node.
 func (n *Node) recoverDepartures(ctx context.Context) {
-	outcome := "no other process reached"
-	for ctx.Err() == nil && time.Since(n.startedAt) < recoveryTimeout {
-		isStoreDone := n.hasReadNodes.Load()
-		isAlone := len(n.view.Nodes()) <= 1
-		if isAlone && isStoreDone {
-			outcome = "store"
-			break
+	learnedFrom := ""
+	for learnedFrom == "" && ctx.Err() == nil && time.Since(n.startedAt) < recoveryTimeout {
+		learnedFrom = n.askForDepartures(ctx)
+		if learnedFrom == "" {
+			sleep(ctx, recoveryInterval)
 		}
-		if !isAlone && (isStoreDone || time.Since(n.startedAt) > recoveryPatience) && n.gossiper.Compare(ctx) {
-			outcome = "another node"
-			break
-		}
-		sleep(ctx, recoveryInterval)
 	}
 	n.gate.EndRecovery()
-	n.logger.Info("gate may open", "learned_from", outcome, "stored", n.hasReadNodes.Load(), "departures", n.view.Self().Departures,
-		"after_ms", time.Since(n.startedAt).Milliseconds())
+	n.logger.Info("gate may open", "learned_from", cmp.Or(learnedFrom, "nobody"), "stored", n.hasReadNodes.Load(),
+		"departures", n.view.Self().Departures, "after_ms", time.Since(n.startedAt).Milliseconds())
+}
+
+// askForDepartures makes one attempt to learn which leaves the gate confirmed before. It
+// returns who has told, or "".
+func (n *Node) askForDepartures(ctx context.Context) string {
+	isStoreDone, isAlone := n.hasReadNodes.Load(), len(n.view.Nodes()) <= 1
+	switch {
+	case isStoreDone && isAlone:
+		return "store"
+	case !isStoreDone && time.Since(n.startedAt) < recoveryPatience:
+		return ""
+	}
+	if !isAlone && n.gossiper.Compare(ctx) {
+		return "another node"
+	}
+	select {
+	case address := <-n.probers:
+		if n.gossiper.CompareWith(ctx, address) {
+			return "a node that probed the gate"
+		}
+	default:
+	}
+	return ""
+}
+
+// recordProber keeps the address of a node that queries the gate's state, for
+// askForDepartures. While the store does not respond, the node may know no other.
+func (n *Node) recordProber(address string) {
+	select {
+	case n.probers <- address:
+	default: // some are known already
+	}
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -96,6 +96,9 @@
 	gateListener  *http1.Listener
 
 	startedAt time.Time
+	// probers are the control addresses of nodes that query the state of the gate while it
+	// recovers.
+	probers chan string
 	// hasReadNodes means that the records of the other nodes have been read from
 	// the store.
 	hasReadNodes atomic.Bool
@@ -113,7 +116,7 @@
 // finish in time and later none, and returns when the node has stopped, within
 // the grace period or at once when its context ends.
 func Start(s settings.Settings, platform Platform, logger hclog.Logger) (*Node, func(context.Context), error) {
-	n := &Node{settings: s, logger: logger, platform: platform, meter: newMeter(), startedAt: time.Now()}
+	n := &Node{settings: s, logger: logger, platform: platform, meter: newMeter(), startedAt: time.Now(), probers: make(chan string, maxProbers)}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	if err := n.start(ctx); err != nil {
@@ -145,7 +148,7 @@
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap,
+		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap, OnProbe: n.recordProber,
 		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
