node, spec: a leave is wanted at the store and at other nodes; a model of it

Seen: none by callers; found while writing the model. A leave was confirmed as soon as the store had it, while the other nodes were still being told. A node that is killed then and cannot read the store when it restarts asks a node that may not know.

--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -15,9 +15,9 @@
 	// holdTimeout limits how long a target waits for the confirmation of its leave. It
 	// gives up a call after a second.
 	holdTimeout = 700 * time.Millisecond
-	// storePatience is how long the store may take before a leave that only other nodes
-	// hold is confirmed. Only the store survives when all processes are killed.
-	storePatience = 300 * time.Millisecond
+	// holderPatience is how long the store and the other nodes may take before a leave that
+	// only some of them hold is confirmed.
+	holderPatience = 300 * time.Millisecond
 	// recoveryTimeout is how long a restarted gate stays closed at most while it cannot
 	// learn from others which leaves it has confirmed.
 	recoveryTimeout = 5 * time.Second
@@ -73,8 +73,8 @@
 
 func (t *target) departures() string { return membership.FormatDepartures(t.node.gate.Departures()) }
 
-// hold returns once the store, or another node if the store does not respond, holds the
-// departures that the gate knows. Otherwise it returns gate.ErrNotHeld.
+// hold returns once the store or other nodes hold the departures that the gate knows.
+// Otherwise it returns gate.ErrNotHeld.
 func (t *target) hold() error {
 	t.holding.Lock()
 	defer t.holding.Unlock()
@@ -104,13 +104,14 @@
 	return nil
 }
 
-// awaitHolder waits until the store holds a record, or nodes do and the store has failed or
-// is late. stored and told deliver one result each: whether the store has the record, and
-// how many nodes do.
+// awaitHolder waits until it is known whether the store and other nodes hold a record, or
+// after holderPatience until one of them does. stored and told deliver one result each:
+// whether the store has the record, and how many nodes do. Both are wanted, since a gate that
+// restarts may reach only one of them.
 func awaitHolder(stored <-chan bool, told <-chan int) (isStored bool, holders int) {
-	late := time.After(storePatience)
+	late := time.After(holderPatience)
 	isLate := false
-	for {
+	for stored != nil || told != nil {
 		select {
 		case isStored = <-stored:
 			stored = nil
@@ -119,12 +120,11 @@
 		case <-late:
 			isLate = true
 		}
-		hasStoreFailed := stored == nil && !isStored
-		switch {
-		case isStored, holders > 0 && (hasStoreFailed || isLate), hasStoreFailed && told == nil:
+		if isLate && (isStored || holders > 0) {
 			return isStored, holders
 		}
 	}
+	return isStored, holders
 }
 
 // learnDepartures passes what others hold of the node's target to the gate.
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -44,7 +44,7 @@
   fi
 }
 
-for model in floor grant limit quota spread; do
+for model in floor grant leave limit quota spread; do
   verify "$model"
   for variant in $(grep -oE '^ \*   NAIVE_[A-Z]+' "$model.pml" | grep -oE 'NAIVE_[A-Z]+'); do
     falsify "$model" "$variant"
--- /dev/null
+++ b/spec/leave.pml
@@ -0,0 +1,80 @@
+/*
+ * How the leave of a target that a gate has confirmed outlives the gate's process.
+ *
+ * The leave is part of the record of the gate's node. The store and another node hold
+ * copies of the record; a later record replaces an earlier one. The gate may be killed,
+ * after which its node begins with an empty record and the gate recovers: it admits
+ * nothing until the other node, and the store unless it is away, have been asked. An
+ * announcement from before the leave may arrive at any time.
+ *
+ * Invariants: somebody other than the gate holds a confirmed leave; and the late
+ * announcement does not open a gate whose target's leave was confirmed. A gate is
+ * excused if only the store held the leave while it recovered, and the store was away.
+ *
+ * Each naive variant leaves out one rule, and the checker must find a
+ * counterexample to it:
+ *   NAIVE_CONFIRM   the gate confirms the leave before anybody else holds it
+ *   NAIVE_OVERWRITE a node that has restarted writes its record before it has read the store
+ *   NAIVE_REPLY     a node that gets a record without the leave does not return the former one
+ *   NAIVE_OPEN      a gate that has restarted asks nobody
+ */
+#define KILLS 2
+
+bool knows = false;       /* the gate knows the leave; its node's record has it */
+bool confirmed = false;
+bool atStore = false;     /* the store's copy of the record has the leave */
+bool atPeer = false;      /* the other node's copy has it */
+bool storeAway = false;
+bool recovering = false;
+bool hasRead = true;      /* the store has been read since the node started */
+bool hasAsked = true;     /* the other node has been asked since then */
+bool excused = false;
+byte kills = 0;
+
+/* What the invariants say of each state after a step. */
+inline check() {
+	assert(!confirmed || atStore || atPeer)
+}
+
+/* The other node gets the record of the gate's node, and compares its copy. */
+inline exchange() {
+	if
+#ifndef NAIVE_REPLY
+	:: atPeer && !knows -> knows = true
+#endif
+	:: else -> atPeer = knows
+	fi;
+	hasAsked = true
+}
+
+active proctype gate() {
+	do
+	:: atomic { !knows && kills == 0 -> knows = true; check() }
+	:: atomic { !storeAway && !hasRead -> knows = knows || atStore; hasRead = true; check() }
+#ifdef NAIVE_OVERWRITE
+	:: atomic { !storeAway -> atStore = knows; check() }
+#else
+	:: atomic { !storeAway && hasRead -> atStore = knows; check() }
+#endif
+	:: atomic { exchange(); check() }
+#ifdef NAIVE_CONFIRM
+	:: atomic { knows -> confirmed = true; check() }
+#else
+	:: atomic { knows && (atStore || atPeer) -> confirmed = true; check() }
+#endif
+	:: atomic { recovering && hasAsked && (hasRead || storeAway) ->
+		recovering = false;
+		excused = excused || !knows && !hasRead && atStore
+	}
+	:: atomic { kills < KILLS ->
+		kills++;
+		knows = false; hasRead = false; hasAsked = false;
+#ifndef NAIVE_OPEN
+		recovering = true;
+#endif
+		check()
+	}
+	:: atomic { !recovering && !knows -> assert(!confirmed || excused) } /* the late announcement */
+	:: atomic { storeAway = !storeAway }
+	od
+}
