soak, node: names of the wire stay in platform and the stand-ins

platform.TestWireNamesAreEncapsulated failed: the soak's odd entries and a test of node named calls and topics. The entries are made by standin/odd now, and the test's calls by the stand-in target's Announcer. The checks are the same.

--- a/process/node/departures_test.go
+++ b/process/node/departures_test.go
@@ -2,26 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/standin/store"
 	"github.com/cuminwheel/cuminwheel/standin/target"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
-// silentTarget is an incarnation of a target whose announcements the test sends itself.
-type silentTarget struct {
-	t        *testing.T
-	vm       *vm
-	instance string
-	born     time.Time
-}
-
 // addSilentVM adds a VM whose target announces nothing by itself.
 func (f *fleet) addSilentVM() *vm {
 	return f.addVMWithTarget(func(v *vm) {
@@ -30,31 +22,9 @@
 	})
 }
 
-// post makes a call of the target to the node and returns the status of the response.
-func (s silentTarget) post(call string, body map[string]any) int {
-	s.t.Helper()
-	b, err := json.Marshal(body)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	endpoint := "http://" + s.vm.settings.Admin + "/cuminwheel/rpc?" + url.Values{"call": {call}, "of": {s.instance}}.Encode()
-	res, err := http.Post(endpoint, "application/json", strings.NewReader(string(b)))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	res.Body.Close()
-	return res.StatusCode
-}
-
-func (s silentTarget) announce(state string, sequence int) int {
-	return s.post("instances.heartbeat", map[string]any{
-		"address": s.vm.settings.Target, "born": s.born.UnixMilli(), "info": map[string]any{"service": "s", "slots": 3},
-		"status": map[string]any{"state": state, "seq": sequence, "cold_remaining": "0ms"},
-	})
-}
-
-func (s silentTarget) deregister() int {
-	return s.post("instances.deregister", map[string]any{"born": s.born.UnixMilli()})
+// silentTarget returns an incarnation of the target of a silent VM that starts now.
+func silentTarget(v *vm, instance string) *target.Announcer {
+	return &target.Announcer{AdminAddress: v.settings.Admin, Instance: instance, Service: "s", Address: v.settings.Target, Slots: 3, StartedAt: time.Now()}
 }
 
 // kill stops nodes at once. The store is away meanwhile and until the test sets its faults
@@ -71,23 +41,24 @@
 // ends (DRAIN). The next incarnation opens it.
 func TestConfirmedLeaveOutlivesTheGate(t *testing.T) {
 	const closed, open = `"gate_open":false`, `"gate_open":true`
+	deregister := func(a *target.Announcer) error { return a.Leave(t.Context(), true) }
 	tests := []struct {
 		name   string
 		others int
-		leave  func(silentTarget) int
+		leave  func(*target.Announcer) error
 		// storeFails means that the store is away from before the leave until the end.
 		storeFails bool
 		// allKilled means that the other nodes are killed as well, terminated that the node
 		// leaves in place of being killed.
 		allKilled, terminated bool
 	}{
-		{"deregistered", 2, silentTarget.deregister, false, false, false},
-		{"deregistered without a start time", 2, func(s silentTarget) int { return s.post("instances.deregister", nil) }, false, false, false},
-		{"draining", 2, func(s silentTarget) int { return s.announce("draining", 9) }, false, false, false},
-		{"store is away", 1, silentTarget.deregister, true, false, false},
-		{"no other node", 0, silentTarget.deregister, false, false, false},
-		{"all nodes killed", 2, silentTarget.deregister, false, true, false},
-		{"node terminated", 2, silentTarget.deregister, false, false, true},
+		{"deregistered", 2, deregister, false, false, false},
+		{"deregistered without a start time", 2, func(a *target.Announcer) error { return a.Leave(t.Context(), false) }, false, false, false},
+		{"draining", 2, func(a *target.Announcer) error { return a.Announce(t.Context(), "draining", 9) }, false, false, false},
+		{"store is away", 1, deregister, true, false, false},
+		{"no other node", 0, deregister, false, false, false},
+		{"all nodes killed", 2, deregister, false, true, false},
+		{"node terminated", 2, deregister, false, false, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -96,12 +67,12 @@
 			f := newFleet(t, test.others)
 			f.publish(1)
 			v := f.addSilentVM()
-			s := silentTarget{t, v, "i-first", time.Now()}
-			is.Equal(s.announce("ready", 1), http.StatusOK)
+			s := silentTarget(v, "i-first")
+			is.NoErr(s.Announce(t.Context(), "ready", 1))
 			f.awaitStatus(v, open)
 			time.Sleep(1500 * time.Millisecond) // the nodes know each other
 			f.store.SetFaults(store.Faults{Outage: test.storeFails})
-			is.Equal(test.leave(s), http.StatusOK)
+			is.NoErr(test.leave(s))
 			if test.terminated {
 				v.leave(context.Background())
 			} else {
@@ -115,13 +86,13 @@
 			}
 			f.store.SetFaults(store.Faults{Outage: test.storeFails})
 			f.startNode(v)
-			is.Equal(s.announce("ready", 2), http.StatusOK)
+			is.NoErr(s.Announce(t.Context(), "ready", 2))
 			for range 60 { // longer than the gate may wait for the others
 				is.True(strings.Contains(f.status(v), closed))
 				time.Sleep(100 * time.Millisecond)
 			}
-			next := silentTarget{t, v, "i-next", time.Now()}
-			is.Equal(next.announce("ready", 1), http.StatusOK)
+			next := silentTarget(v, "i-next")
+			is.NoErr(next.Announce(t.Context(), "ready", 1))
 			f.awaitStatus(v, open)
 		})
 	}
@@ -135,18 +106,22 @@
 	f := newFleet(t, 0)
 	f.publish(1)
 	v := f.addSilentVM()
-	s := silentTarget{t, v, "i-first", time.Now()}
-	is.Equal(s.announce("ready", 1), http.StatusOK)
+	s := silentTarget(v, "i-first")
+	is.NoErr(s.Announce(t.Context(), "ready", 1))
 	f.awaitStatus(v, `"gate_open":true`)
 	f.store.SetFaults(store.Faults{Outage: true})
+	isNotHeld := func(err error) {
+		is.True(errors.Is(err, target.ErrNotConfirmed))
+		is.True(strings.Contains(err.Error(), strconv.Itoa(http.StatusServiceUnavailable)))
+	}
 	startedAt := time.Now()
-	is.Equal(s.announce("draining", 2), http.StatusServiceUnavailable)
+	isNotHeld(s.Announce(t.Context(), "draining", 2))
 	is.True(time.Since(startedAt) < time.Second) // a target gives up a call then
 	is.True(strings.Contains(f.status(v), `"gate_open":false`))
-	is.Equal(s.announce("draining", 2), http.StatusServiceUnavailable) // stale, and not held either
+	isNotHeld(s.Announce(t.Context(), "draining", 2)) // stale, and not held either
 	f.store.SetFaults(store.Faults{})
-	is.Equal(s.announce("draining", 3), http.StatusOK)
-	is.Equal(s.deregister(), http.StatusOK)
+	is.NoErr(s.Announce(t.Context(), "draining", 3))
+	is.NoErr(s.Leave(t.Context(), true))
 }
 
 // A node that starts again must open its gate soon, also while it can reach nobody that
@@ -160,8 +135,8 @@
 	f.store.SetFaults(store.Faults{Outage: true})
 	f.startNode(v)
 	startedAt := time.Now()
-	s := silentTarget{t, v, "i-first", time.Now()}
-	is.Equal(s.announce("ready", 1), http.StatusOK)
+	s := silentTarget(v, "i-first")
+	is.NoErr(s.Announce(t.Context(), "ready", 1))
 	is.True(strings.Contains(f.status(v), `"gate_open":false`))
 	f.awaitStatus(v, `"gate_open":true`)
 	is.True(time.Since(startedAt) < 6*time.Second)
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"syscall"
 	"time"
@@ -16,6 +14,7 @@
 	"github.com/cuminwheel/cuminwheel/connection/peerrpc"
 	"github.com/cuminwheel/cuminwheel/platform"
 	"github.com/cuminwheel/cuminwheel/process/membership"
+	"github.com/cuminwheel/cuminwheel/standin/odd"
 )
 
 // Kinds of faults that other writers cause, and the kill of a node whose target leaves.
@@ -54,47 +53,12 @@
 	return events
 }
 
-// oddRecords returns odd records for the nodes' topic by key. Some have the key of a node,
-// whose sound record they replace.
-func oddRecords(own, gate, service string) map[string]string {
-	record := func(node, gate string, issue any) string {
-		return fmt.Sprintf(`{"node":%q,"gate":%q,"service":%q,"data_centre":"d0","region":"r0","issue":%v}`, node, gate, service, issue)
-	}
-	nested := strings.Repeat("[", 400_000)
-	return map[string]string{
-		own:               record(own, gate, math.MaxInt64),
-		"127.0.0.1:70000": record("127.0.0.1:70000", "127.0.0.1:70001", 5),
-		"127.0.0.9:1":     record("127.0.0.9:1", "127.0.0.9:-1", 5),
-		"127.0.0.9:2":     record("127.0.0.9:2", "nowhere", 5),
-		"127.0.0.9:3":     record("127.0.0.9:3", "127.0.0.9:4", "9223372036854775808"),
-		"127.0.0.9:5":     record("127.0.0.9:5", "127.0.0.9:6", strings.Repeat("9", 400)),
-		"127.0.0.9:7":     `{"node":"127.0.0.9:7","departures":` + nested,
-		"127.0.0.9:8":     "null", "127.0.0.9:9": "\xff\xfe", "": "{}",
-	}
-}
-
 // writeOddRecords writes the odd records. Calls that the store rejects are no violation.
 func (f *fleet) writeOddRecords(ctx context.Context, node int) {
 	client, closeClient := platform.NewStore(f.storeAddress())
 	defer closeClient()
-	for key, value := range oddRecords(f.address(node, portControlLink), f.address(node, portGateLink), f.serviceOf(node)) {
-		_ = client.Put(ctx, "keyed.nodes", key, []byte(value))
-	}
-}
-
-// oddAnnouncements returns odd announcements and deregistrations for a target.
-func oddAnnouncements(address, service string) map[string][]string {
-	ping := func(born, seq, slots any, state, warmup string) string {
-		return fmt.Sprintf(`{"address":%q,"born":%v,"info":{"service":%q,"slots":%v},"status":{"state":%q,"seq":%v,"cold_remaining":%q}}`,
-			address, born, service, slots, state, seq, warmup)
-	}
-	return map[string][]string{
-		"instances.heartbeat": {
-			ping(math.MaxInt64, 1, 3, "ready", "0ms"), ping("9223372036854775808", 1, 3, "ready", "0ms"), ping(5, int64(math.MaxInt64), 3, "ready", "0ms"),
-			ping(5, 1, int64(math.MaxInt64), "ready", "0ms"), ping(5, 1, 3, "ready", "2000000h"), ping(5, 1, 3, strings.Repeat("x", 5000), "0ms"),
-			strings.Repeat(`{"a":`, 10_000), "null", "\xff\xfe",
-		},
-		"instances.deregister": {`{"born":9223372036854775807}`, `{"born":-1}`, strings.Repeat("[", 60_000)},
+	for key, value := range odd.Records(f.address(node, portControlLink), f.address(node, portGateLink), f.serviceOf(node)) {
+		_ = client.Put(ctx, odd.RecordTopic, key, []byte(value))
 	}
 }
 
@@ -103,21 +67,18 @@
 func (f *fleet) makeOddCalls(ctx context.Context, node int) {
 	ctx, cancel := context.WithTimeout(ctx, oddCallTimeout)
 	defer cancel()
-	for call, bodies := range oddAnnouncements(f.address(node, portTarget), f.serviceOf(node)) {
-		for _, body := range bodies {
-			endpoint := "http://" + f.address(node, portAdmin) + platform.AnnouncementPath + "?" + url.Values{"call": {call}, "of": {"odd"}}.Encode()
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint, strings.NewReader(body))
-			if err != nil {
-				continue
-			}
-			res, err := http.DefaultClient.Do(req)
-			if err != nil {
-				continue // the node may be down
-			}
-			res.Body.Close()
-			if res.StatusCode == http.StatusOK {
-				f.recordViolation("node %d confirmed an odd call: %.80s", node, body)
-			}
+	for _, call := range odd.Calls(f.address(node, portTarget), f.serviceOf(node)) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.address(node, portAdmin)+call.Path, strings.NewReader(call.Body))
+		if err != nil {
+			continue
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue // the node may be down
+		}
+		res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			f.recordViolation("node %d confirmed an odd call: %.80s", node, call.Body)
 		}
 	}
 	f.sendOddMessage(ctx, node)
--- a/standin/target/announcer.go
+++ b/standin/target/announcer.go
@@ -71,13 +71,28 @@
 		time.AfterFunc(a.LateAfter, func() { _ = a.post(ctx, heartbeatCall, late) }) // nobody waits for it
 	}
 	time.Sleep(a.DrainTime)
-	return a.post(ctx, "instances.deregister", map[string]any{"born": a.StartedAt.UnixMilli()})
+	return a.Leave(ctx, true)
+}
+
+// Announce sends the state of the target, ready or draining, with a sequence number.
+func (a *Announcer) Announce(ctx context.Context, state string, sequence int64) error {
+	return a.post(ctx, heartbeatCall, a.encode(state, sequence))
+}
+
+// Leave deregisters the target at once. The call names the start of the target only if
+// withStart is true.
+func (a *Announcer) Leave(ctx context.Context, withStart bool) error {
+	body := map[string]any{}
+	if withStart {
+		body["born"] = a.StartedAt.UnixMilli()
+	}
+	return a.post(ctx, deregisterCall, body)
 }
 
 // announce sends the state of the target with a sequence number that grows with each
 // announcement.
 func (a *Announcer) announce(ctx context.Context, state string) error {
-	return a.post(ctx, heartbeatCall, a.encode(state, a.nextSequence()))
+	return a.Announce(ctx, state, a.nextSequence())
 }
 
 // drainAttempts is how often a target that ends announces that it drains.
@@ -101,7 +116,11 @@
 	return a.sequence
 }
 
-const heartbeatCall = "instances.heartbeat"
+// Names of the calls of a target.
+const (
+	heartbeatCall  = "instances.heartbeat"
+	deregisterCall = "instances.deregister"
+)
 
 func (a *Announcer) encode(state string, sequence int64) map[string]any {
 	return map[string]any{
