node: a gate whose node finds the store empty waits for the others

Cause: that the store is read and lists nobody was taken for a fleet of one node.

Change: if the store lists neither others nor the node's own former record, the gate stays closed for 3 s. In that time the other nodes write their records again and compare views with it.

--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -24,6 +24,10 @@
 	// recoveryPatience is how long the store may take before another node alone is
 	// believed.
 	recoveryPatience = time.Second
+	// emptyStorePatience is how long a gate stays closed whose node finds no record in the
+	// store, its own neither. The fleet may be new, or the store may have come back from an
+	// older copy, to which the other nodes add their records again within restoreSpread.
+	emptyStorePatience = 3 * time.Second
 	// recoveryInterval is the time between two attempts to learn from others.
 	recoveryInterval = 50 * time.Millisecond
 	// maxProbers bounds the nodes that are kept to be asked.
@@ -154,10 +158,11 @@
 // returns who has told, or "".
 func (n *Node) askForDepartures(ctx context.Context) string {
 	isStoreDone, isAlone := n.hasReadNodes.Load(), len(n.view.Nodes()) <= 1
+	elapsed := time.Since(n.startedAt)
 	switch {
-	case isStoreDone && isAlone:
+	case isStoreDone && isAlone && (n.wasRegistered.Load() || elapsed >= emptyStorePatience):
 		return "store"
-	case !isStoreDone && time.Since(n.startedAt) < recoveryPatience:
+	case !isStoreDone && elapsed < recoveryPatience:
 		return ""
 	}
 	if !isAlone && n.gossiper.Compare(ctx) {
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/cuminwheel/cuminwheel/process/membership"
 )
 
 const (
@@ -40,6 +43,12 @@
 		n.logger.Warn("reading node records from the store failed", "reason", err)
 		return false
 	}
+	isFormer := func(r membership.Record) bool {
+		return r.ControlAddress == n.view.Self().ControlAddress && r.Incarnation < n.startedAt.UnixMilli()
+	}
+	if slices.ContainsFunc(records, isFormer) {
+		n.wasRegistered.Store(true)
+	}
 	before := n.view.Version()
 	n.view.Merge(records)
 	n.hasReadNodes.Store(true)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -102,7 +102,9 @@
 	// hasReadNodes means that the records of the other nodes have been read from
 	// the store.
 	hasReadNodes atomic.Bool
-	isLeaving    atomic.Bool
+	// wasRegistered means that the store has had a record of this node.
+	wasRegistered atomic.Bool
+	isLeaving     atomic.Bool
 	// deadline is when a leaving node must have stopped; nil if it is not leaving.
 	deadline atomic.Pointer[time.Time]
 	// cleanups run in reverse order when the node stops.
