--- a/process/node/holder_test.go
+++ b/process/node/holder_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/gate"
+	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/matryer/is"
 )
 
@@ -47,3 +50,15 @@
 		})
 	}
 }
+
+// The departures of a gate must fit into the record of its node: others reject a longer list.
+func TestDeparturesFitIntoARecord(t *testing.T) {
+	is := is.New(t)
+	list := make([]uint64, gate.MaxDepartures)
+	for i := range list {
+		list[i] = math.MaxUint64 - uint64(i)
+	}
+	parsed, err := membership.ParseDepartures(membership.FormatDepartures(list))
+	is.NoErr(err)
+	is.Equal(parsed, list)
+}
