node: a leave after a restart does not replace the former ones at the store

Seen: none by callers; found by reading the change. A restarted node whose target drains before the store has been read wrote its record with that leave alone, in place of the former record.

Change: the former record is read first; without it the leave does not count as stored.

--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -91,8 +91,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout)
 	defer cancel()
 	stored, told := make(chan bool, 1), make(chan int, 1)
-	// The store has no record of a node that has left for good.
-	go func() { stored <- t.node.writeOwnRecord(ctx) && !self.Gone }()
+	go func() { stored <- t.store(ctx) }()
 	go func() { told <- t.node.gossiper.PushAndWait(ctx, self) }()
 	isStored, holders := awaitHolder(stored, told)
 	afterMillis := time.Since(start).Milliseconds()
@@ -103,11 +102,22 @@
 	t.node.logger.Info("leave of the target held by others", "departures", departures, "stored", isStored, "nodes", holders, "after_ms", afterMillis)
 	t.held = departures
 	if !isStored && !self.Gone {
-		go retry(t.ctx, func() bool { return t.node.writeOwnRecord(t.ctx) })
+		go retry(t.ctx, func() bool { return t.store(t.ctx) })
 	}
 	return nil
 }
 
+// store writes the record of the node and reports whether the store has it. A node that has
+// left for good has none there. A node that has restarted reads its former record first,
+// which would be overwritten otherwise.
+func (t *target) store(ctx context.Context) bool {
+	n := t.node
+	if n.view.Self().Gone || !n.settings.Bootstrap && !n.hasReadNodes.Load() && !n.readNodes(ctx) {
+		return false
+	}
+	return n.writeOwnRecord(ctx)
+}
+
 // awaitHolder waits until it is known whether the store and other nodes hold a record, or
 // after holderPatience until one of them does. stored and told deliver one result each:
 // whether the store has the record, and how many nodes do. Both are wanted, since a gate that
--- a/process/node/departures_test.go
+++ b/process/node/departures_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/platform"
+	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/standin/store"
 	"github.com/cuminwheel/cuminwheel/standin/target"
 	"github.com/go-faster/errors"
@@ -149,3 +151,30 @@
 	f.awaitStatus(v, `"gate_open":true`)
 	is.True(time.Since(startedAt) < 6*time.Second)
 }
+
+// A leave that a restarted node confirms before it has read the store must not replace those
+// of its former record there.
+func TestLeaveAfterRestartKeepsFormerOnes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 0)
+	f.publish(1)
+	v := f.addSilentVM()
+	first := silentTarget(v, "i-first")
+	is.NoErr(first.Announce(t.Context(), "ready", 1))
+	f.awaitStatus(v, `"gate_open":true`)
+	is.NoErr(first.Leave(t.Context(), true))
+	f.kill(v)
+	f.startNode(v)
+	next := silentTarget(v, "i-next")
+	is.True(next.Announce(t.Context(), "draining", 1) != nil) // nobody can hold it
+	f.store.SetFaults(store.Faults{})
+	is.NoErr(next.Announce(t.Context(), "draining", 2))
+	client, closeClient := platform.NewStore(f.storeAddress)
+	defer closeClient()
+	records, _, err := platform.NewNodeRegistry(client).Nodes(t.Context())
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	departures, err := membership.ParseDepartures(records[0].Departures)
+	is.NoErr(err)
+	is.Equal(len(departures), 2)
+}
