--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -99,12 +99,6 @@
 // of an older version that holds one sends it with each comparison.
 const rejectionLogInterval = 10 * time.Second
 
-// heldVersion is a configuration version and a node that has it.
-type heldVersion struct {
-	holder  string
-	version uint64
-}
-
 // NewGossiper returns a gossiper for the records of a view.
 func NewGossiper(v *View, c Configurations, e Evidence, t Transport, logger hclog.Logger) *Gossiper {
 	return &Gossiper{view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1)}
@@ -133,25 +127,6 @@
 	}
 }
 
-// advertiseVersion starts comparisons with a few nodes if the version has not
-// been advertised yet, so that nodes that cannot reach the store learn of it
-// soon.
-func (g *Gossiper) advertiseVersion(ctx context.Context, version uint64) {
-	g.mu.Lock()
-	isNew := version > g.advertised
-	g.advertised = max(g.advertised, version)
-	g.mu.Unlock()
-	if !isNew {
-		return
-	}
-	for range fanout {
-		go func() {
-			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(versionDelay)))
-			g.Compare(ctx)
-		}()
-	}
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -327,79 +302,6 @@
 	return true
 }
 
-// newestKnownVersion returns the newest configuration version that the node has
-// or has heard of, and a node that has it; empty means the node itself.
-func (g *Gossiper) newestKnownVersion() (version uint64, holder string) {
-	own, _ := g.configurations.Newest()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.newestRemote.version > own {
-		return g.newestRemote.version, g.newestRemote.holder
-	}
-	return own, ""
-}
-
-// KnownVersion returns the newest configuration version that the node has or has heard of.
-func (g *Gossiper) KnownVersion() uint64 {
-	version, _ := g.newestKnownVersion()
-	return version
-}
-
-// recordRemoteVersion records which configuration version another node has, and
-// requests a fetch if it is newer than the own one.
-func (g *Gossiper) recordRemoteVersion(holder string, version uint64) {
-	known, _ := g.newestKnownVersion()
-	if own, _ := g.configurations.Newest(); version <= own || holder == "" || holder == g.self() {
-		return
-	}
-	g.mu.Lock()
-	if version >= known {
-		g.newestRemote = heldVersion{holder, version}
-	}
-	g.mu.Unlock()
-	select {
-	case g.fetchRequests <- struct{}{}:
-	default: // a fetch is pending already
-	}
-}
-
-// fetchNewerConfigurations fetches configurations that other nodes have and the
-// store has not delivered, until ctx ends.
-func (g *Gossiper) fetchNewerConfigurations(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.fetchRequests:
-		}
-		version, _ := g.newestKnownVersion()
-		g.advertiseVersion(ctx, version)
-		sleep(ctx, fetchDelay)
-		g.fetchConfiguration(ctx)
-	}
-}
-
-// fetchConfiguration fetches the newest known configuration from its holder,
-// unless the node has it already.
-func (g *Gossiper) fetchConfiguration(ctx context.Context) {
-	version, holder := g.newestKnownVersion()
-	if holder == "" || ctx.Err() != nil {
-		return
-	}
-	own, _ := g.configurations.Newest()
-	var reply Message
-	if !g.call(ctx, Record{ControlAddress: holder}, methodFetch, Message{Sender: g.self(), ConfigurationVersion: own}, &reply) || len(reply.Configuration) == 0 {
-		// The holder is unreachable or has restarted without the configuration.
-		// Later comparisons name a holder again.
-		g.mu.Lock()
-		g.newestRemote = heldVersion{}
-		g.mu.Unlock()
-		g.logger.Info("fetching a newer configuration failed", "node", holder, "version", version, "own_version", own)
-		return
-	}
-	g.applyConfiguration(reply.Configuration, holder)
-}
-
 // self returns the control address of the node itself.
 func (g *Gossiper) self() string { return g.view.Self().ControlAddress }
 
@@ -426,20 +328,6 @@
 	return true
 }
 
-// applyConfiguration applies a compressed configuration that another node sent.
-func (g *Gossiper) applyConfiguration(compressed []byte, source string) {
-	if len(compressed) == 0 {
-		return
-	}
-	encoded, err := decompress(compressed)
-	if err == nil {
-		err = g.configurations.Offer(encoded, source)
-	}
-	if err != nil {
-		g.logger.Warn("configuration from another node rejected", "node", source, "reason", err)
-	}
-}
-
 // pickPeer returns a random other node, mostly one of the own region.
 func (g *Gossiper) pickPeer() (Record, bool) {
 	self := g.view.Self()
