--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # checks of CI.
 GO ?= go
 BIN := bin/cuminwheel
-.PHONY: build demo test setup format vet lint unit spec measure clean
+.PHONY: build demo test setup format vet lint unit spec fuzz measure clean
 
 build:
 	$(GO) build -o $(BIN) ./cmd/cuminwheel
@@ -35,6 +35,15 @@
 spec:
 	./spec/check.sh
 
+# Runs each fuzz test for FUZZTIME. `make unit` tries fixed mutations of their samples.
+FUZZTIME ?= 10s
+fuzz:
+	@grep -rlE '^func Fuzz' --include='*_test.go' . | while read f; do \
+		grep -oE '^func Fuzz[A-Za-z]+' $$f | cut -d' ' -f2 | while read t; do \
+			$(GO) test ./$$(dirname $$f) -run '^$$' -fuzz "^$$t\$$" -fuzztime $(FUZZTIME) -parallel 2 </dev/null || exit 1; \
+		done || exit 1; \
+	done
+
 measure: build
 	$(BIN) experiment --seeds 8
 
