--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -18,7 +18,8 @@
 //     requests, for good;
 //   - deregistered: it has announced that it leaves for good.
 //
-// Only an open target gets requests. Independently of these states, a circuit
+// Only an open target gets requests. A gate that has restarted may have confirmed a leave
+// before; it recovers first, and admits nothing meanwhile (departures.go). Independently of these states, a circuit
 // breaker makes the target suspected after failures; a suspected target gets
 // one trial at a time, of requests that are idempotent and can be retried
 // elsewhere. A request that lasts far longer than those of its route usually do has
--- a/process/membership/doc.go
+++ b/process/membership/doc.go
@@ -15,6 +15,10 @@
 // traffic between regions is billed. The same calls carry the configuration to
 // nodes that cannot reach the store.
 //
+// A record also lists the departures of the node's target: the leaves that its gate has
+// confirmed. A node that restarts gets them back with its former record, from the store
+// or from any node that holds it (departures.go).
+//
 // Package node creates the View and the Gossiper and serves the Receiver to
 // other nodes; package entry reads the View to find gates.
 //
