follower, membership: bytes and duration of each configuration that arrives; time behind a known one

On-call work for CONFIG behind a narrow link: logs could not tell a crowded link from a store that serves some nodes late, nor whether a node that answers 404 had heard of the newer version. Now: bytes and transfer time of each read (without the wait for a change) and of each fetch, bytes of each applied configuration, and cuminwheel_configuration_behind_seconds. A Source returns a Batch with a Position, whose era belonged to the source before; no change of behaviour.

--- a/cmd/cuminwheel/publish.go
+++ b/cmd/cuminwheel/publish.go
@@ -99,11 +99,11 @@
 // was read, so that neither a late write nor one of another operator is lost or replaces
 // a later version.
 func publish(ctx context.Context, store *platform.Store, version uint64, encoded []byte) error {
-	newest, end, err := platform.NewConfigurationSource(store).Newest(ctx)
+	read, err := platform.NewConfigurationSource(store).Newest(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the newest configuration")
 	}
-	if newest != nil {
+	if newest := read.Newest(); newest != nil {
 		current, err := platform.DecodeConfiguration(newest)
 		switch {
 		case err != nil:
@@ -115,5 +115,5 @@
 				"not published: the store has version %d; base the change on it and publish a higher version", current.Version)}
 		}
 	}
-	return store.PutAt(ctx, platform.ConfigurationTopic, platform.ConfigurationKey, encoded, end)
+	return store.PutAt(ctx, platform.ConfigurationTopic, platform.ConfigurationKey, encoded, read.Next.Offset)
 }
--- a/cmd/cuminwheel/publish_test.go
+++ b/cmd/cuminwheel/publish_test.go
@@ -51,11 +51,11 @@
 func (p *publisher) version() uint64 {
 	client, closeClient := platform.NewStore(p.url)
 	defer closeClient()
-	encoded, _, err := platform.NewConfigurationSource(client).Newest(p.t.Context())
+	read, err := platform.NewConfigurationSource(client).Newest(p.t.Context())
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	c, err := platform.DecodeConfiguration(encoded)
+	c, err := platform.DecodeConfiguration(read.Newest())
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -149,6 +149,7 @@
 			}
 			continue
 		}
+		beganAt := time.Now()
 		maxBytes := c.bodies.maxBytes()
 		c.input.remaining = int((1+framingShare)*maxBytes) + maxResponseHeadBytes
 		memory := c.bodies.newReservation()
@@ -179,7 +180,7 @@
 		// Bytes after the response belong to no request, so the connection
 		// cannot be reused.
 		reusable := delimited && !hr.Close && c.reader.Buffered() == 0
-		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, SkippedLate: skippedLate, memory: memory}
+		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, BeganAt: beganAt, SkippedLate: skippedLate, memory: memory}
 		// Releases the memory of a response that nobody passes on.
 		runtime.AddCleanup(res, (*reservation).release, memory)
 		return res, reusable, nil
--- a/connection/http1/response.go
+++ b/connection/http1/response.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Response is a complete response, body included.
@@ -11,6 +12,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// BeganAt is when the head of a response that Conn.Do returned had arrived.
+	BeganAt time.Time
 	// Abort closes the connection instead of sending a response.
 	Abort bool
 	// SkippedLate is how many late responses to earlier requests preceded a response
--- a/process/follower/current.go
+++ b/process/follower/current.go
@@ -69,7 +69,7 @@
 	c.active.Store(&offered)
 	close(c.changed)
 	c.changed = make(chan struct{})
-	c.logger.Info("configuration applied", "version", offered.Version, "before", before, "source", source,
+	c.logger.Info("configuration applied", "version", offered.Version, "before", before, "source", source, "bytes", len(encoded),
 		"routes", offered.RouteCount(), "customers", offered.Customers().Len())
 	return nil
 }
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -12,14 +12,49 @@
 
 // Source delivers published configurations, in encoded form.
 type Source interface {
-	// Newest returns the newest configuration, or nil if there is none, and the
-	// position from which Next continues.
-	Newest(ctx context.Context) (encoded []byte, position int64, err error)
+	// Newest returns the newest configuration, if there is one, and the position from
+	// which Next continues.
+	Newest(ctx context.Context) (Batch, error)
 	// Next waits for configurations published from a position on, at most for wait. It
-	// returns them, oldest first, and the position from which the next call continues.
-	// The list is empty if none were published. Errors wrap ErrTrimmed if the source no
-	// longer holds the position.
-	Next(ctx context.Context, position int64, wait time.Duration) (encoded [][]byte, next int64, err error)
+	// returns them and the position from which the next call continues. The batch is empty
+	// if none were published. Errors wrap ErrTrimmed if the source no longer holds the
+	// position.
+	Next(ctx context.Context, from Position, wait time.Duration) (Batch, error)
+}
+
+// Position is a place in the log of a Source.
+type Position struct {
+	// Era is the era of the log; an offset has no meaning in another one. Zero stands for
+	// any.
+	Era    uint64
+	Offset int64
+}
+
+// Batch is the result of a call to a Source.
+type Batch struct {
+	// Encoded holds configurations, the oldest first.
+	Encoded [][]byte
+	// Next is the position after them.
+	Next Position
+	// Transfer is the time from the first byte of the response to its last.
+	Transfer time.Duration
+}
+
+// Newest returns the last configuration of the batch, or nil if it is empty.
+func (b Batch) Newest() []byte {
+	if len(b.Encoded) == 0 {
+		return nil
+	}
+	return b.Encoded[len(b.Encoded)-1]
+}
+
+// bytes returns the size of the configurations.
+func (b Batch) bytes() int {
+	n := 0
+	for _, encoded := range b.Encoded {
+		n += len(encoded)
+	}
+	return n
 }
 
 // Fleet is the set of nodes that follow the same source and tell each other of newer
@@ -103,7 +138,7 @@
 // Run reads the newest configuration and then waits for changes, until ctx ends.
 // After an error it starts again with the newest configuration.
 func (f *Follower) Run(ctx context.Context) {
-	position := int64(-1)
+	var position *Position // nil means that the newest configuration is read
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		calledAt := time.Now()
@@ -112,16 +147,16 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrTrimmed):
-			f.logger.Info("the store has trimmed configurations; reading the newest", "position", position)
-			position, backoff = -1, 0
+			f.logger.Info("the store has trimmed configurations; reading the newest", "position", offsetOf(position))
+			position, backoff = nil, 0
 			continue
 		case err != nil:
 			if backoff == 0 {
-				f.logger.Warn("store unavailable; retrying", "reason", err, "position", position, "waited_ms", time.Since(calledAt).Milliseconds())
+				f.logger.Warn("store unavailable; retrying", "reason", err, "position", offsetOf(position), "waited_ms", time.Since(calledAt).Milliseconds())
 			}
 			// The next call is Newest, which does not wait for a change and so
 			// shows soon whether the store responds again.
-			position = -1
+			position = nil
 			if backoff == 0 && time.Since(calledAt) >= silenceGrace {
 				// The connection has been silent for as long already.
 				backoff = minBackoff
@@ -132,11 +167,11 @@
 			continue
 		}
 		if backoff > 0 {
-			f.logger.Info("store available again", "position", next)
+			f.logger.Info("store available again", "position", next.Offset)
 			backoff = 0
 		}
 		f.respondedAt.Store(time.Now().UnixNano())
-		position = next
+		position = &next
 		if received {
 			sleep(ctx, batchDelay)
 		}
@@ -158,30 +193,36 @@
 	return wait
 }
 
+// offsetOf returns the offset of a position for the log.
+func offsetOf(p *Position) int64 {
+	if p == nil {
+		return -1
+	}
+	return p.Offset
+}
+
 // poll makes one call to the source and offers what it returns to Current: Newest
-// if the position is negative, otherwise Next. It returns the position for the next
+// if the position is nil, otherwise Next. It returns the position for the next
 // call, and whether Next returned any configuration.
-func (f *Follower) poll(ctx context.Context, position int64, wait time.Duration) (next int64, received bool, err error) {
-	if position < 0 {
-		encoded, next, err := f.source.Newest(ctx)
-		if err == nil && encoded != nil {
-			f.offer(encoded)
+func (f *Follower) poll(ctx context.Context, position *Position, wait time.Duration) (next Position, received bool, err error) {
+	if position == nil {
+		batch, err := f.source.Newest(ctx)
+		if err == nil {
+			f.offer(batch)
 		}
-		return next, false, err
+		return batch.Next, false, err
 	}
 	waitCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelIfSuperseded(waitCtx, cancel)
 	silenceTimer := time.AfterFunc(wait+silenceGrace, func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
-	list, next, err := f.source.Next(waitCtx, position, wait)
+	batch, err := f.source.Next(waitCtx, *position, wait)
 	if err != nil {
-		return position, false, err
+		return *position, false, err
 	}
-	for _, encoded := range list {
-		f.offer(encoded)
-	}
-	return next, len(list) > 0, nil
+	f.offer(batch)
+	return batch.Next, len(batch.Encoded) > 0, nil
 }
 
 // cancelIfSuperseded cancels a call to Next once supersededGrace has passed since
@@ -196,11 +237,17 @@
 	cancel(errSuperseded)
 }
 
-// offer offers a configuration of the source to Current. If it is invalid, the active
+// offer offers the configurations of a batch to Current. If one is invalid, the active
 // one stays.
-func (f *Follower) offer(encoded []byte) {
-	if err := f.current.Offer(encoded, "store"); err != nil {
-		f.logger.Error("invalid published configuration; keeping the active one", "reason", err)
+func (f *Follower) offer(b Batch) {
+	if len(b.Encoded) == 0 {
+		return
+	}
+	f.logger.Info("configurations read from the store", "count", len(b.Encoded), "bytes", b.bytes(), "transfer_ms", b.Transfer.Milliseconds())
+	for _, encoded := range b.Encoded {
+		if err := f.current.Offer(encoded, "store"); err != nil {
+			f.logger.Error("invalid published configuration; keeping the active one", "reason", err)
+		}
 	}
 }
 
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -86,20 +86,21 @@
 	f(s)
 }
 
-func (s *source) Newest(context.Context) ([]byte, int64, error) {
+func (s *source) Newest(context.Context) (Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
-		return nil, 0, errUnavailable
+		return Batch{}, errUnavailable
 	}
 	if len(s.records) == 0 {
-		return nil, 0, nil
+		return Batch{}, nil
 	}
-	return []byte(s.records[len(s.records)-1]), int64(len(s.records)), nil
+	return Batch{Encoded: [][]byte{[]byte(s.records[len(s.records)-1])}, Next: Position{Offset: int64(len(s.records))}}, nil
 }
 
-func (s *source) Next(ctx context.Context, position int64, wait time.Duration) ([][]byte, int64, error) {
+func (s *source) Next(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+	position := from.Offset
 	s.mu.Lock()
 	s.calls++
 	unavailable, silent, trimmed, appended, silenced := s.unavailable, s.silent, position < int64(s.first), s.appended, s.silenced
@@ -111,21 +112,21 @@
 	switch {
 	case silent:
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return Batch{}, ctx.Err()
 	case unavailable:
-		return nil, 0, errUnavailable
+		return Batch{}, errUnavailable
 	case trimmed:
-		return nil, 0, ErrTrimmed
+		return Batch{}, ErrTrimmed
 	}
 	select {
 	case <-appended:
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return Batch{}, ctx.Err()
 	case <-time.After(wait):
 	case <-silenced:
 		// The connection stays open, and nothing arrives any more.
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return Batch{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,7 +134,7 @@
 	for _, r := range s.records[position:] {
 		list = append(list, []byte(r))
 	}
-	return list, int64(len(s.records)), nil
+	return Batch{Encoded: list, Next: Position{Offset: int64(len(s.records))}}, nil
 }
 
 // runFollower runs a follower of a source that has published version 1, in a
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -88,6 +88,10 @@
 	mu sync.Mutex
 	// newestRemote is the newest configuration that another node is known to have.
 	newestRemote heldVersion
+	// awaited is the newest configuration version that the node has heard of, and
+	// awaitedSince when it last began to be behind one.
+	awaited      uint64
+	awaitedSince time.Time
 	// advertised is the newest configuration version that was advertised to other
 	// nodes.
 	advertised uint64
--- a/process/membership/versions.go
+++ b/process/membership/versions.go
@@ -49,17 +49,34 @@
 	return version
 }
 
+// BehindSince returns when the node heard of a newer configuration than it has, or the
+// zero time if it has the newest that it knows of.
+func (g *Gossiper) BehindSince() time.Time {
+	own, _ := g.configurations.Newest()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if own >= g.awaited {
+		return time.Time{}
+	}
+	return g.awaitedSince
+}
+
 // recordRemoteVersion records which configuration version another node has, and
 // requests a fetch if it is newer than the own one.
 func (g *Gossiper) recordRemoteVersion(holder string, version uint64) {
 	known, _ := g.newestKnownVersion()
-	if own, _ := g.configurations.Newest(); version <= own || holder == "" || holder == g.self() {
+	own, _ := g.configurations.Newest()
+	if version <= own || holder == "" || holder == g.self() {
 		return
 	}
 	g.mu.Lock()
 	if version >= known {
 		g.newestRemote = heldVersion{holder, version}
 	}
+	if own >= g.awaited {
+		g.awaitedSince = time.Now()
+	}
+	g.awaited = max(g.awaited, version)
 	g.mu.Unlock()
 	select {
 	case g.fetchRequests <- struct{}{}:
@@ -92,15 +109,19 @@
 	}
 	own, _ := g.configurations.Newest()
 	var reply Message
+	calledAt := time.Now()
 	if !g.call(ctx, Record{ControlAddress: holder}, methodFetch, Message{Sender: g.self(), ConfigurationVersion: own}, &reply) || len(reply.Configuration) == 0 {
 		// The holder is unreachable or has restarted without the configuration.
 		// Later comparisons name a holder again.
 		g.mu.Lock()
 		g.newestRemote = heldVersion{}
 		g.mu.Unlock()
-		g.logger.Info("fetching a newer configuration failed", "node", holder, "version", version, "own_version", own)
+		g.logger.Info("fetching a newer configuration failed", "node", holder, "version", version, "own_version", own,
+			"took_ms", time.Since(calledAt).Milliseconds())
 		return
 	}
+	g.logger.Info("configuration fetched from another node", "node", holder, "version", reply.ConfigurationVersion, "own_version", own,
+		"bytes", len(reply.Configuration), "took_ms", time.Since(calledAt).Milliseconds())
 	g.applyConfiguration(reply.Configuration, holder)
 }
 
--- a/process/node/metrics.go
+++ b/process/node/metrics.go
@@ -28,6 +28,13 @@
 		}
 		return time.Since(at).Seconds()
 	})
+	m.set.NewGauge("cuminwheel_configuration_behind_seconds", func() float64 {
+		since := n.gossiper.BehindSince()
+		if since.IsZero() {
+			return 0
+		}
+		return time.Since(since).Seconds()
+	})
 	m.set.NewGauge("cuminwheel_configuration_customers", func() float64 {
 		return float64(n.configuration.Configuration().Customers().Len())
 	})
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -315,7 +315,7 @@
 		is.NoErr(err)
 		res.Body.Close()
 		for _, name := range []string{"cuminwheel_requests_total{", "cuminwheel_request_seconds_bucket{", "cuminwheel_asks_total{",
-			"cuminwheel_configuration_version 1", "cuminwheel_known_nodes 2"} {
+			"cuminwheel_configuration_version 1", "cuminwheel_configuration_behind_seconds 0", "cuminwheel_known_nodes 2"} {
 			is.True(strings.Contains(string(b), name))
 		}
 	}
