--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -56,6 +56,7 @@
 // ExpectContinue arrives.
 func (c *Conn) Do(ctx context.Context, r Request, responseID IDFunc, onContinue func()) (*Response, error) {
 	c.reusable = false
+	c.input.onRead = r.OnRead
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
 	c.conn.SetDeadline(time.Time{})
--- a/connection/http1/request.go
+++ b/connection/http1/request.go
@@ -30,6 +30,8 @@
 	// OnInterim, if not nil, is called with the header of each 102 response that
 	// arrives before the final one.
 	OnInterim func(http.Header)
+	// OnRead, if not nil, is called each time that bytes of the response arrive.
+	OnRead func()
 }
 
 // writeRequestHeader writes the request line and the header, and flushes w.
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -113,6 +113,8 @@
 	reader      io.Reader
 	remaining   int
 	errExceeded error
+	// onRead, if not nil, is called after each read of some bytes.
+	onRead func()
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
@@ -121,6 +123,9 @@
 	}
 	n, err := r.reader.Read(p)
 	r.remaining -= n
+	if n > 0 && r.onRead != nil {
+		r.onRead()
+	}
 	return n, err
 }
 
--- a/connection/peerrpc/doc.go
+++ b/connection/peerrpc/doc.go
@@ -6,7 +6,7 @@
 // first call, shares it between concurrent calls, and closes it once it has been
 // idle for 20 s, so that a fleet of thousands of nodes holds few connections.
 //
-// Every call has a deadline. A call on a reused connection that gets no reply soon is
-// repeated on a new one. A connection on which a call timed out is closed, because its peer
-// may be reachable in one direction only.
+// Every call has a deadline. A call on a reused connection on which nothing arrives is
+// repeated on a new one; a long reply that still arrives is not given up. A connection on
+// which a call timed out is closed, because its peer may be reachable in one direction only.
 package peerrpc
--- a/connection/peerrpc/pool.go
+++ b/connection/peerrpc/pool.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,29 +43,49 @@
 // codec while the client's reader reads from it.
 type peerConn struct {
 	client *rpc.Client
-	conn   net.Conn
+	conn   *receivingConn
 	idle   *time.Timer
 }
 
+// receivingConn records when bytes last arrived.
+type receivingConn struct {
+	net.Conn
+	// receivedAt is in Unix nanoseconds.
+	receivedAt atomic.Int64
+}
+
+func (c *receivingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // NewPool returns an empty pool and a function that closes its connections.
 func NewPool() (*Pool, func()) {
 	p := &Pool{conns: map[string]*peerConn{}}
 	return p, p.close
 }
 
-// silenceTimeout is how long a call on a reused connection may get no reply before the
-// connection counts as silent. A reply takes 60 ms between regions.
-const silenceTimeout = 400 * time.Millisecond
+const (
+	// silenceTimeout is for how long nothing may arrive on a reused connection, during a
+	// call, before the connection counts as silent. A reply takes 60 ms between regions.
+	silenceTimeout = 400 * time.Millisecond
+	// newSilenceTimeout is the same for a new connection.
+	newSilenceTimeout = time.Second
+)
 
 // Call calls a method of the peer at address and stores the result in reply. ctx
-// must carry a deadline. If a reused connection turns out to be broken or silent, the
+// must carry a deadline. A call ends sooner if nothing arrives, while a long reply may take
+// until the deadline. If a reused connection turns out to be broken or silent, the
 // call is retried on a new one, so methods must be idempotent.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	for {
 		if ctx.Err() != nil {
 			return errors.Wrap(ErrUnreachable, ctx.Err().Error())
 		}
-		c, isReused, err := p.clientFor(ctx, address)
+		c, isReused, err := p.connFor(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -77,16 +98,17 @@
 
 // call makes one attempt on c and sets reply if it succeeds. It removes c from the pool if
 // the call times out or the connection fails or is silent.
-func (p *Pool) call(ctx context.Context, c *rpc.Client, isReused bool, address, method string, args, reply any) error {
-	attemptCtx := ctx
+func (p *Pool) call(ctx context.Context, c *peerConn, isReused bool, address, method string, args, reply any) error {
+	timeout := newSilenceTimeout
 	if isReused {
-		var cancel context.CancelFunc
-		attemptCtx, cancel = context.WithTimeout(ctx, silenceTimeout)
-		defer cancel()
+		timeout = silenceTimeout
 	}
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.conn.cancelWhenSilent(attemptCtx, timeout, cancel)
 	// The reply of an attempt that is given up may still be decoded while the next one runs.
 	attemptReply := reflect.New(reflect.TypeOf(reply).Elem())
-	call := c.Go(method, args, attemptReply.Interface(), make(chan *rpc.Call, 1))
+	call := c.client.Go(method, args, attemptReply.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-attemptCtx.Done():
@@ -105,17 +127,36 @@
 	return errors.Wrapf(ErrNoReply, "%s: %v", method, call.Error)
 }
 
-// clientFor returns the pooled client for address, or dials a new one.
-func (p *Pool) clientFor(ctx context.Context, address string) (c *rpc.Client, isReused bool, err error) {
+// cancelWhenSilent calls cancel once nothing has arrived for the timeout, from now on.
+func (c *receivingConn) cancelWhenSilent(ctx context.Context, timeout time.Duration, cancel func()) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			idle := now.Sub(time.Unix(0, c.receivedAt.Load()))
+			if idle >= timeout {
+				cancel()
+				return
+			}
+			timer.Reset(timeout - idle)
+		}
+	}
+}
+
+// connFor returns the pooled connection for address, or dials a new one.
+func (p *Pool) connFor(ctx context.Context, address string) (c *peerConn, isReused bool, err error) {
 	p.mu.Lock()
 	pc, ok := p.conns[address]
 	if ok {
 		pc.idle.Reset(idleTimeout)
 		p.mu.Unlock()
-		return pc.client, true, nil
+		return pc, true, nil
 	}
 	p.mu.Unlock()
-	var d net.Dialer
+	d := net.Dialer{Timeout: newSilenceTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, errors.Wrap(ErrUnreachable, err.Error())
@@ -124,25 +165,26 @@
 }
 
 // addOrReuse adds the connection to the pool. If a concurrent call has already
-// added one, it closes conn and returns the client of the other.
-func (p *Pool) addOrReuse(address string, conn net.Conn) *rpc.Client {
+// added one, it closes conn and returns the other.
+func (p *Pool) addOrReuse(address string, conn net.Conn) *peerConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pc, ok := p.conns[address]; ok {
 		conn.Close()
-		return pc.client
+		return pc
 	}
-	c := rpc.NewClientWithCodec(msgpackrpc.NewClientCodec(conn))
-	idle := time.AfterFunc(idleTimeout, func() { p.remove(address, c) })
-	p.conns[address] = &peerConn{client: c, conn: conn, idle: idle}
+	c := &peerConn{conn: &receivingConn{Conn: conn}}
+	c.client = rpc.NewClientWithCodec(msgpackrpc.NewClientCodec(c.conn))
+	c.idle = time.AfterFunc(idleTimeout, func() { p.remove(address, c) })
+	p.conns[address] = c
 	return c
 }
 
-// remove closes the connection of c if it is still in the pool.
-func (p *Pool) remove(address string, c *rpc.Client) {
+// remove closes c if it is still in the pool.
+func (p *Pool) remove(address string, c *peerConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pc, ok := p.conns[address]; ok && pc.client == c {
+	if pc, ok := p.conns[address]; ok && pc == c {
 		pc.idle.Stop()
 		pc.conn.Close()
 		delete(p.conns, address)
