membership, follower: few nodes read the store, and pass each change on inside their region

What callers saw: on a deployment whose regions share 60 Mbit/s, changes were not in force in time, and added routes got 404. Cause: each node read each version whole from the store, 41 copies of 211 KB over one link; reads and fetches that were late were given up by elapsed time and begun again. Class: state that all need is pulled whole by each one over a shared link, and lateness adds load.

Change: three nodes of each region, by a hash of their addresses, read the store. Each version goes down a tree inside the region, in which every node has three parents; nodes ask a near holder for the difference to what they have, another one after 0.5 s or a failure, one of another region only when no near one has it, and the whole if the difference fails. A node whose parents know of no reader at work reads itself, low ranks first, and continues from the position that others have named instead of reading the newest whole. A read is given up for lack of progress only. Nodes of older builds read as before and are told and asked by the calls that they know.

The rewritten checks: TestHolderWithoutConfigurationIsForgotten asks the same of the new state.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/distribution"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 )
@@ -19,15 +21,9 @@
 	// returns them and the position from which the next call continues. The batch is empty
 	// if none were published. Errors wrap ErrTrimmed if the source no longer holds the
 	// position.
-	Next(ctx context.Context, from Position, wait time.Duration) (Batch, error)
-}
-
-// Position is a place in the log of a Source.
-type Position struct {
-	// Era is the era of the log; an offset has no meaning in another one. Zero stands for
-	// any.
-	Era    uint64
-	Offset int64
+	Next(ctx context.Context, from distribution.Position, wait time.Duration) (Batch, error)
+	// ReceivedAt returns when bytes of a response to a call last arrived, or the zero time.
+	ReceivedAt() time.Time
 }
 
 // Batch is the result of a call to a Source.
@@ -35,7 +31,7 @@
 	// Encoded holds configurations, the oldest first.
 	Encoded [][]byte
 	// Next is the position after them.
-	Next Position
+	Next distribution.Position
 	// Transfer is the time from the first byte of the response to its last.
 	Transfer time.Duration
 }
@@ -60,11 +56,26 @@
 // Fleet is the set of nodes that follow the same source and tell each other of newer
 // configurations.
 type Fleet interface {
-	// Place returns the index of the node among the nodes that it knows, in an order that
-	// is the same for all, and their number, which is at least 1.
+	// Place returns the index of the node among the nodes that read the source, in an order
+	// that is the same for all, and their number, which is at least 1.
 	Place() (index, count int)
 }
 
+// Duty tells a node when it reads the source. At other times it gets configurations from
+// other nodes.
+type Duty interface {
+	// ReadsAt returns from when on the node reads the source; the zero time means always.
+	// The channel is closed when that may have changed.
+	ReadsAt() (at time.Time, changed <-chan struct{})
+	// Position returns the latest position in the source before which there is nothing that
+	// the node needs, if one is known.
+	Position() (distribution.Position, bool)
+	// RecordReading notes that the source responds until a time, and what has been read.
+	RecordReading(until time.Time, r distribution.Reading)
+	// RecordFailure notes that a call to the source has failed.
+	RecordFailure(now time.Time)
+}
+
 // ErrTrimmed means that a source no longer holds all configurations that follow a
 // position.
 var ErrTrimmed = errors.New("the source has trimmed configurations after the position")
@@ -99,6 +110,9 @@
 	// silenceGrace is how long after the end of its wait a call to Next may still get a
 	// response. After that its connection counts as silent.
 	silenceGrace = time.Second
+	// responseTime is how long after the end of its wait a call may take until the source
+	// no longer counts as read.
+	responseTime = 300 * time.Millisecond
 )
 
 // Causes with which a call to Next is cancelled.
@@ -112,7 +126,9 @@
 	source  Source
 	current *Current
 	fleet   Fleet
-	logger  hclog.Logger
+	// duty is nil if the node always reads the source.
+	duty   Duty
+	logger hclog.Logger
 	// clock is the time of day, which differs between nodes.
 	clock func() time.Time
 	// respondedAt is when the source last responded, in Unix nanoseconds; zero if it has
@@ -125,6 +141,13 @@
 	return &Follower{source: s, current: c, fleet: f, logger: logger, clock: time.Now}
 }
 
+// WithDuty makes the follower read only when it is the node's duty. It must be called before
+// Run.
+func (f *Follower) WithDuty(d Duty) *Follower {
+	f.duty = d
+	return f
+}
+
 // RespondedAt returns when the source last responded to a call, or the zero time. A call
 // that waits for changes has not been responded to until it returns.
 func (f *Follower) RespondedAt() time.Time {
@@ -135,28 +158,41 @@
 	return time.Unix(0, nanos)
 }
 
-// Run reads the newest configuration and then waits for changes, until ctx ends.
-// After an error it starts again with the newest configuration.
+// Run reads the newest configuration and then waits for changes, until ctx ends. After an
+// error it asks for changes without a wait, or for the newest configuration if the source no
+// longer has the position.
 func (f *Follower) Run(ctx context.Context) {
-	var position *Position // nil means that the newest configuration is read
+	var position *distribution.Position // nil means that the newest configuration is read
 	backoff := time.Duration(0)
-	for ctx.Err() == nil {
+	isTrimmed := false
+	for {
+		hasWaited := f.awaitDuty(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if hasWaited || position == nil && !isTrimmed {
+			position = f.latest(position)
+		}
 		calledAt := time.Now()
-		next, received, err := f.poll(ctx, position, f.nextWait(f.clock()))
+		wait := minWait // shows soon whether the source responds again
+		if backoff == 0 {
+			wait = f.nextWait(f.clock())
+		}
+		next, received, err := f.poll(ctx, position, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrTrimmed):
 			f.logger.Info("the store has trimmed configurations; reading the newest", "position", offsetOf(position))
-			position, backoff = nil, 0
+			position, backoff, isTrimmed = nil, 0, true
 			continue
 		case err != nil:
 			if backoff == 0 {
 				f.logger.Warn("store unavailable; retrying", "reason", err, "position", offsetOf(position), "waited_ms", time.Since(calledAt).Milliseconds())
 			}
-			// The next call is Newest, which does not wait for a change and so
-			// shows soon whether the store responds again.
-			position = nil
+			if f.duty != nil {
+				f.duty.RecordFailure(time.Now())
+			}
 			if backoff == 0 && time.Since(calledAt) >= silenceGrace {
 				// The connection has been silent for as long already.
 				backoff = minBackoff
@@ -171,7 +207,8 @@
 			backoff = 0
 		}
 		f.respondedAt.Store(time.Now().UnixNano())
-		position = &next
+		position, isTrimmed = &next, false
+		f.recordReading(time.Now().Add(f.nextWait(f.clock())+responseTime), next)
 		if received {
 			sleep(ctx, batchDelay)
 		}
@@ -193,8 +230,51 @@
 	return wait
 }
 
+// awaitDuty waits until it is the node's duty to read the source, or until ctx ends, and
+// reports whether it had to wait. A node without a configuration reads in any case.
+func (f *Follower) awaitDuty(ctx context.Context) (hasWaited bool) {
+	for ctx.Err() == nil && f.duty != nil && f.current.Configuration().Version > 0 {
+		at, changed := f.duty.ReadsAt()
+		wait := time.Until(at)
+		if wait <= 0 {
+			if hasWaited {
+				f.logger.Info("begins to read the store", "no_reader_heard_until", at)
+			}
+			break
+		}
+		hasWaited = true
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return hasWaited
+}
+
+// latest returns the later one of a position and the one that other nodes have named.
+func (f *Follower) latest(position *distribution.Position) *distribution.Position {
+	if f.duty == nil {
+		return position
+	}
+	named, ok := f.duty.Position()
+	if ok && (position == nil || named.IsAfter(*position)) {
+		return &named
+	}
+	return position
+}
+
+// recordReading tells the other nodes that the source responds until a time.
+func (f *Follower) recordReading(until time.Time, next distribution.Position) {
+	if f.duty != nil {
+		f.duty.RecordReading(until, distribution.Reading{Version: f.current.Configuration().Version, Next: next})
+	}
+}
+
 // offsetOf returns the offset of a position for the log.
-func offsetOf(p *Position) int64 {
+func offsetOf(p *distribution.Position) int64 {
 	if p == nil {
 		return -1
 	}
@@ -204,7 +284,7 @@
 // poll makes one call to the source and offers what it returns to Current: Newest
 // if the position is nil, otherwise Next. It returns the position for the next
 // call, and whether Next returned any configuration.
-func (f *Follower) poll(ctx context.Context, position *Position, wait time.Duration) (next Position, received bool, err error) {
+func (f *Follower) poll(ctx context.Context, position *distribution.Position, wait time.Duration) (next distribution.Position, received bool, err error) {
 	if position == nil {
 		batch, err := f.source.Newest(ctx)
 		if err == nil {
@@ -215,8 +295,7 @@
 	waitCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelIfSuperseded(waitCtx, cancel)
-	silenceTimer := time.AfterFunc(wait+silenceGrace, func() { cancel(errSilent) })
-	defer silenceTimer.Stop()
+	go f.cancelWhenStalled(waitCtx, wait+silenceGrace, func() { cancel(errSilent) })
 	batch, err := f.source.Next(waitCtx, *position, wait)
 	if err != nil {
 		return *position, false, err
@@ -225,26 +304,40 @@
 	return batch.Next, len(batch.Encoded) > 0, nil
 }
 
-// cancelIfSuperseded cancels a call to Next once supersededGrace has passed since
-// another configuration became active.
+// cancelWhenStalled calls cancel after a time, or once nothing of the response has arrived
+// for silenceGrace. A response that still arrives is not given up: its bytes would have to
+// be sent again.
+func (f *Follower) cancelWhenStalled(ctx context.Context, after time.Duration, cancel func()) {
+	for {
+		sleep(ctx, after)
+		idle := time.Since(f.source.ReceivedAt())
+		if ctx.Err() != nil || idle >= silenceGrace {
+			cancel()
+			return
+		}
+		after = silenceGrace - idle
+	}
+}
+
+// cancelIfSuperseded cancels a call to Next that makes no progress once supersededGrace has
+// passed since another configuration became active.
 func (f *Follower) cancelIfSuperseded(waitCtx context.Context, cancel context.CancelCauseFunc) {
 	select {
 	case <-waitCtx.Done():
 		return
 	case <-f.current.Changed():
 	}
-	sleep(waitCtx, supersededGrace)
-	cancel(errSuperseded)
+	f.cancelWhenStalled(waitCtx, supersededGrace, func() { cancel(errSuperseded) })
 }
 
-// offer offers the configurations of a batch to Current. If one is invalid, the active
-// one stays.
+// offer offers the configurations of a batch to Current, the last one first, so that those
+// that it supersedes are not applied. If one is invalid, the active one stays.
 func (f *Follower) offer(b Batch) {
 	if len(b.Encoded) == 0 {
 		return
 	}
 	f.logger.Info("configurations read from the store", "count", len(b.Encoded), "bytes", b.bytes(), "transfer_ms", b.Transfer.Milliseconds())
-	for _, encoded := range b.Encoded {
+	for _, encoded := range slices.Backward(b.Encoded) {
 		if err := f.current.Offer(encoded, "store"); err != nil {
 			f.logger.Error("invalid published configuration; keeping the active one", "reason", err)
 		}
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/distribution"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
@@ -96,10 +97,13 @@
 	if len(s.records) == 0 {
 		return Batch{}, nil
 	}
-	return Batch{Encoded: [][]byte{[]byte(s.records[len(s.records)-1])}, Next: Position{Offset: int64(len(s.records))}}, nil
+	return Batch{Encoded: [][]byte{[]byte(s.records[len(s.records)-1])}, Next: distribution.Position{Offset: int64(len(s.records))}}, nil
 }
 
-func (s *source) Next(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+// ReceivedAt returns the zero time: responses arrive at once.
+func (s *source) ReceivedAt() time.Time { return time.Time{} }
+
+func (s *source) Next(ctx context.Context, from distribution.Position, wait time.Duration) (Batch, error) {
 	position := from.Offset
 	s.mu.Lock()
 	s.calls++
@@ -134,7 +138,7 @@
 	for _, r := range s.records[position:] {
 		list = append(list, []byte(r))
 	}
-	return Batch{Encoded: list, Next: Position{Offset: int64(len(s.records))}}, nil
+	return Batch{Encoded: list, Next: distribution.Position{Offset: int64(len(s.records))}}, nil
 }
 
 // runFollower runs a follower of a source that has published version 1, in a
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/distribution"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/field"
+	"github.com/cuminwheel/cuminwheel/version/patch"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -49,14 +52,15 @@
 	// that operators allow if one of two comparisons is with a node that has it.
 	compareInterval = time.Second
 	// versionDelay is the mean time between a new configuration and the
-	// comparisons that advertise it. By then nearly all nodes have it from the
-	// store.
+	// comparisons that advertise it. By then nearly all nodes have it from their
+	// parents in the distribution.
 	versionDelay = 300 * time.Millisecond
-	// fetchDelay is how long a node that hears of a newer configuration waits for
-	// the store to deliver it before it fetches it from another node. While
-	// configurations are published in quick succession, nodes read the store every
-	// 0.4 s.
-	fetchDelay = 300 * time.Millisecond
+	// fetchTimeout limits a fetch of a configuration. The transport gives up sooner if
+	// nothing arrives any more.
+	fetchTimeout = 10 * time.Second
+	// hedgeDelay is how long a node waits for a configuration before it asks another holder
+	// as well.
+	hedgeDelay = 500 * time.Millisecond
 	// remoteShare is the share of randomly picked peers that are in another
 	// region.
 	remoteShare = 0.1
@@ -84,14 +88,32 @@
 	pushQueue chan []Record
 	// fetchRequests wakes fetchNewerConfigurations.
 	fetchRequests chan struct{}
+	compressed    compressedVersion
 
 	mu sync.Mutex
-	// newestRemote is the newest configuration that another node is known to have.
-	newestRemote heldVersion
-	// awaited is the newest configuration version that the node has heard of, and
-	// awaitedSince when it last began to be behind one.
-	awaited      uint64
-	awaitedSince time.Time
+	// holders are nodes that have newer configurations, and behindSince is when the first
+	// of them was heard of.
+	holders     distribution.Holders
+	behindSince time.Time
+	// fetched is the last configuration that was fetched, and from whom.
+	fetched heldVersion
+	// history leads to the active configuration from the last ones before it.
+	history patch.History
+	// tree is the result of currentTree for a version of the view, and stale if other
+	// nodes are reachable than then.
+	tree        distribution.Tree
+	treeVersion uint64
+	treeIsStale bool
+	// unreachable are nodes that did not respond to the last call, and when they are
+	// called again.
+	unreachable map[string]time.Time
+	watch       distribution.Watch
+	// dutyChanged is closed when the result of ReadsAt may have changed.
+	dutyChanged chan struct{}
+	// readsUntil is until when the store is known to respond to the node itself.
+	readsUntil time.Time
+	// reading is the latest position in the log of the store that is known.
+	reading distribution.Reading
 	// advertised is the newest configuration version that was advertised to other
 	// nodes.
 	advertised uint64
@@ -105,15 +127,19 @@
 
 // NewGossiper returns a gossiper for the records of a view.
 func NewGossiper(v *View, c Configurations, e Evidence, t Transport, logger hclog.Logger) *Gossiper {
-	return &Gossiper{view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1)}
+	return &Gossiper{
+		view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1),
+		unreachable: map[string]time.Time{}, dutyChanged: make(chan struct{}), treeIsStale: true,
+	}
 }
 
-// Run pushes updates, advertises configurations and compares views until ctx
+// Run pushes updates, passes on configurations and compares views until ctx
 // ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	go g.fetchNewerConfigurations(ctx)
+	go g.announceVersions(ctx)
+	go g.watchReaders(ctx)
 	for {
-		changed := g.configurations.Changed()
 		wait := time.Duration((0.5 + rand.Float64()) * float64(compareInterval))
 		select {
 		case <-ctx.Done():
@@ -122,9 +148,6 @@
 			g.push(ctx, updates)
 		case records := <-g.evidence.Updates():
 			g.pushEvidence(ctx, records)
-		case <-changed:
-			version, _ := g.configurations.Newest()
-			g.advertiseVersion(ctx, version)
 		case <-time.After(wait):
 			g.Compare(ctx)
 		}
@@ -318,9 +341,17 @@
 
 // call reports whether the peer replied without an error.
 func (g *Gossiper) call(ctx context.Context, peer Record, method string, args Message, reply *Message) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	return g.callWithin(ctx, callTimeout, peer, method, args, reply)
+}
+
+// callWithin is call with another time limit.
+func (g *Gossiper) callWithin(ctx context.Context, timeout time.Duration, peer Record, method string, args Message, reply *Message) bool {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := g.transport.Call(ctx, peer.ControlAddress, method, args, reply)
+	err := g.transport.Call(callCtx, peer.ControlAddress, method, args, reply)
+	if ctx.Err() == nil {
+		g.recordContact(peer.ControlAddress, err == nil, time.Now())
+	}
 	if g.contacts != nil {
 		g.contacts.Record(peer.ControlAddress, err == nil, time.Now())
 	}
@@ -332,11 +363,34 @@
 	return true
 }
 
-// pickPeer returns a random other node, mostly one of the own region.
+// pickPeer returns a random other node, mostly one of the own region. It leaves out nodes
+// that do not respond as long as others do.
 func (g *Gossiper) pickPeer() (Record, bool) {
+	if peer, ok := g.pickAmong(g.reachableNodes()); ok {
+		return peer, true
+	}
+	return g.pickAmong(g.view.Nodes())
+}
+
+// reachableNodes returns the nodes that are not known to be down.
+func (g *Gossiper) reachableNodes() []Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	nodes := g.view.Nodes()
+	if len(g.unreachable) == 0 {
+		return nodes
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(r Record) bool {
+		_, isDown := g.unreachable[r.ControlAddress]
+		return isDown
+	})
+}
+
+// pickAmong returns a random node other than the own one, mostly one of the own region.
+func (g *Gossiper) pickAmong(nodes []Record) (Record, bool) {
 	self := g.view.Self()
 	var local, remote []Record
-	for _, r := range g.view.Nodes() {
+	for _, r := range nodes {
 		switch {
 		case r.ControlAddress == self.ControlAddress:
 		case r.Region == self.Region:
--- a/process/membership/gossip_test.go
+++ b/process/membership/gossip_test.go
@@ -170,9 +170,11 @@
 			f.unreachable[holder] = tt.isUnreachable
 			f.mu.Unlock()
 			g.mu.Lock()
-			g.newestRemote = heldVersion{holder: holder, version: 9}
+			g.holders = g.holders.With(holder, 9, true, false, time.Now())
+			next, ok := g.holders.Next(time.Now())
 			g.mu.Unlock()
-			g.fetchConfiguration(t.Context())
+			is.True(ok)
+			g.fetchConfiguration(t.Context(), next)
 			version, knownHolder := g.newestKnownVersion()
 			is.Equal(version, uint64(0))
 			is.Equal(knownHolder, "")
--- a/process/membership/message.go
+++ b/process/membership/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/cuminwheel/cuminwheel/request/field"
+	"github.com/cuminwheel/cuminwheel/version/patch"
 )
 
 // Message is the argument and the reply of all calls between nodes. Its names on
@@ -35,6 +36,19 @@
 	Evidence       []quarantine.Record `codec:"x,omitempty"`
 	// Configuration is encoded and compressed.
 	Configuration []byte `codec:"c,omitempty"`
+	// ConfigurationDigest names the sender's encoded configuration, and Patches lead from
+	// it to the one of the reply.
+	ConfigurationDigest uint64        `codec:"e,omitempty"`
+	Patches             []patch.Patch `codec:"p,omitempty"`
+	// WantsReaders means that the sender asks for the fields below.
+	WantsReaders bool `codec:"q,omitempty"`
+	// ReaderAge is the time in ms since a reader of the store was known to be at work, plus
+	// one; zero means that none is known.
+	ReaderAge int64 `codec:"a,omitempty"`
+	// ReadVersion was the newest version at an offset, of an era, of the store's log.
+	ReadVersion uint64 `codec:"u,omitempty"`
+	ReadEra     uint64 `codec:"k,omitempty"`
+	ReadOffset  int64  `codec:"o,omitempty"`
 }
 
 // checked returns the message without the fields that are invalid. Records and evidence
@@ -54,9 +68,18 @@
 	if version.Err() != nil {
 		m.ConfigurationVersion, m.ConfigurationHolder = 0, ""
 	}
+	if m.ReaderAge < 0 || m.ReaderAge > maxReaderAgeMillis {
+		m.ReaderAge = 0
+	}
+	if m.ReadVersion > math.MaxInt64 || m.ReadEra > math.MaxInt64 || m.ReadOffset < 0 {
+		m.ReadVersion, m.ReadEra, m.ReadOffset = 0, 0, 0
+	}
 	return m
 }
 
+// maxReaderAgeMillis bounds the age of what is known of readers: no node cares for more.
+const maxReaderAgeMillis = 24 * 60 * 60 * 1000
+
 // ReceiverName is the name under which a Receiver is served.
 const ReceiverName = "Roster"
 
--- a/process/membership/model_test.go
+++ b/process/membership/model_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/process/distribution"
 	"github.com/cuminwheel/cuminwheel/process/follower"
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
@@ -74,6 +75,9 @@
 	// narrowLink, in bytes per second, is a link of 60 Mbit/s; wideLink one of 4,000.
 	narrowLink = 60e6 / 8
 	wideLink   = 4000e6 / 8
+	// silenceTimeout is how long a call between nodes waits on a connection that it has
+	// kept, and then on a new one.
+	silenceTimeout = 1400 * time.Millisecond
 )
 
 var errDown = errors.New("connection refused")
@@ -117,7 +121,7 @@
 	n.current = follower.NewCurrent(decodeVersion, logger)
 	n.gossiper = membership.NewGossiper(view, n.current, quarantine.NewTable(logger), n, logger)
 	n.receiver = membership.NewReceiver(n.gossiper)
-	f := follower.New(n, n.current, view, logger)
+	f := follower.New(n, n.current, n.gossiper, logger).WithDuty(n.gossiper)
 	go f.Run(ctx)
 	go n.gossiper.Run(ctx)
 }
@@ -229,11 +233,14 @@
 	if err := m.carry(ctx, regionName(0), n.record.Region, callBytes+len(newest)*4/3); err != nil {
 		return follower.Batch{}, err
 	}
-	return follower.Batch{Encoded: [][]byte{newest}, Next: follower.Position{Offset: int64(end)}}, nil
+	return follower.Batch{Encoded: [][]byte{newest}, Next: distribution.Position{Offset: int64(end)}}, nil
 }
 
+// ReceivedAt implements follower.Source.
+func (n *modelNode) ReceivedAt() time.Time { return time.Time{} }
+
 // Next implements follower.Source.
-func (n *modelNode) Next(ctx context.Context, from follower.Position, wait time.Duration) (follower.Batch, error) {
+func (n *modelNode) Next(ctx context.Context, from distribution.Position, wait time.Duration) (follower.Batch, error) {
 	if err := n.callStore(ctx); err != nil {
 		return follower.Batch{}, err
 	}
@@ -253,7 +260,7 @@
 		}
 	}
 	m.mu.Lock()
-	batch := follower.Batch{Encoded: m.records[from.Offset:len(m.records):len(m.records)], Next: follower.Position{Offset: int64(len(m.records))}}
+	batch := follower.Batch{Encoded: m.records[from.Offset:len(m.records):len(m.records)], Next: distribution.Position{Offset: int64(len(m.records))}}
 	isMute := n.isCut || n.storeFault == storeIsSilent
 	m.mu.Unlock()
 	if isMute {
@@ -284,8 +291,7 @@
 	isCut, isDown := n.isCut || peer.isCut, peer.isDown
 	m.mu.Unlock()
 	if isCut {
-		<-ctx.Done()
-		return ctx.Err()
+		return cmpErr(sleepFor(ctx, silenceTimeout), errors.New("no reply"))
 	}
 	if isDown {
 		return errDown
--- a/process/membership/narrow_link_test.go
+++ b/process/membership/narrow_link_test.go
@@ -26,6 +26,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				m := newModel(ctx, t, test.bytesPerSecond, encodeRoutes(1, test.routes), 37, 41)
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -17,6 +17,7 @@
 func (r *Receiver) Compare(request Message, reply *Message) error {
 	g := r.gossiper
 	request = request.checked()
+	g.recordContact(request.Sender, true, time.Now())
 	g.recordRemoteVersion(cmp.Or(request.ConfigurationHolder, request.Sender), request.ConfigurationVersion)
 	reply.ConfigurationVersion, reply.ConfigurationHolder = g.newestKnownVersion()
 	now := time.Now()
@@ -33,28 +34,27 @@
 
 // Tell merges the pushed records and replies with those in the wanted buckets,
 // as they were before the merge, and with the sender's own one if the sender has
-// forgotten its departures.
+// forgotten its departures. It hears of the sender's version, and replies with the own one
+// and what it knows of the readers of the store if the sender wants that.
 func (r *Receiver) Tell(request Message, reply *Message) error {
 	g := r.gossiper
 	request = request.checked()
+	now := time.Now()
+	g.recordContact(request.Sender, true, now)
+	if !request.WantsReaders {
+		g.recordReaders(request, now)
+	}
+	g.recordRemoteVersion(request.Sender, request.ConfigurationVersion)
+	if request.WantsReaders {
+		*reply = g.withReading(*reply)
+		reply.ConfigurationVersion, reply.ConfigurationHolder = g.newestKnownVersion()
+	}
 	wanted := g.view.RecordsInBuckets(request.WantedBuckets, request.BucketCount)
 	if old, ok := g.view.forgottenRecord(request.Sender, request.Records); ok {
 		wanted = append(wanted, old)
 	}
 	g.Merge(request.Records)
-	g.evidence.Merge(request.Evidence, time.Now())
+	g.evidence.Merge(request.Evidence, now)
 	reply.Records = wanted
 	return nil
 }
-
-// Fetch replies with the own configuration if it is newer than the sender's.
-func (r *Receiver) Fetch(request Message, reply *Message) error {
-	version, encoded := r.gossiper.configurations.Newest()
-	if request.ConfigurationVersion >= version {
-		return nil
-	}
-	var err error
-	reply.ConfigurationVersion = version
-	reply.Configuration, err = compress(encoded)
-	return err
-}
--- a/process/membership/versions.go
+++ b/process/membership/versions.go
@@ -4,17 +4,85 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cuminwheel/cuminwheel/process/distribution"
+	"github.com/cuminwheel/cuminwheel/version/patch"
 )
 
-// heldVersion is a configuration version and a node that has it.
-type heldVersion struct {
-	holder  string
-	version uint64
+// announceVersions tells other nodes of each configuration that the node applies, until ctx
+// ends.
+func (g *Gossiper) announceVersions(ctx context.Context) {
+	last := []byte(nil)
+	for {
+		changed := g.configurations.Changed()
+		if version, encoded := g.configurations.Newest(); version > 0 {
+			source := g.recordApplied(version, last, encoded)
+			last = encoded
+			g.announce(ctx, version, source)
+			g.advertiseVersion(ctx, version)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
 }
 
-// advertiseVersion starts comparisons with a few nodes if the version has not
-// been advertised yet, so that nodes that cannot reach the store learn of it
-// soon.
+// recordApplied notes that a configuration has become active after another, and returns
+// the node that it comes from; empty means the store.
+func (g *Gossiper) recordApplied(version uint64, last, encoded []byte) (source string) {
+	g.mu.Lock()
+	isKnown := g.history.LeadsTo(patch.Digest(encoded))
+	g.holders = g.holders.WithOwn(version)
+	if g.fetched.version == version {
+		source = g.fetched.holder
+	}
+	g.mu.Unlock()
+	if isKnown || last == nil {
+		return source
+	}
+	p, err := patch.Make(last, encoded)
+	if err != nil {
+		g.logger.Error("cannot encode the difference of two configurations; others get the whole", "version", version, "reason", err)
+		return source
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.history = g.history.With(p)
+	return source
+}
+
+// announce tells the node's children of a version. The readers of the region learn of a
+// version that has not come through them, so that they tell all nodes.
+func (g *Gossiper) announce(ctx context.Context, version uint64, source string) {
+	tree := g.currentTree()
+	targets := tree.Children()
+	switch {
+	case tree.IsReader():
+		targets = append(targets, tree.Peers()...)
+	case !g.isParent(tree, source):
+		targets = append(targets, tree.Readers()...)
+	}
+	for _, address := range targets {
+		if address != source {
+			go g.call(ctx, Record{ControlAddress: address}, methodTell, g.withReading(Message{Sender: g.self(), ConfigurationVersion: version}), &Message{})
+		}
+	}
+}
+
+// isParent reports whether an address is that of a parent in the tree.
+func (g *Gossiper) isParent(t distribution.Tree, address string) bool {
+	for _, p := range t.Parents() {
+		if p == address {
+			return true
+		}
+	}
+	return false
+}
+
+// advertiseVersion starts comparisons with a few nodes if the version has not been
+// advertised yet. They reach nodes that are no descendants of those that have it.
 func (g *Gossiper) advertiseVersion(ctx context.Context, version uint64) {
 	g.mu.Lock()
 	isNew := version > g.advertised
@@ -37,8 +105,8 @@
 	own, _ := g.configurations.Newest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.newestRemote.version > own {
-		return g.newestRemote.version, g.newestRemote.holder
+	if newest, ok := g.holders.Newest(); ok && newest.Version > own {
+		return newest.Version, newest.Address
 	}
 	return own, ""
 }
@@ -49,34 +117,33 @@
 	return version
 }
 
-// BehindSince returns when the node heard of a newer configuration than it has, or the
-// zero time if it has the newest that it knows of.
+// BehindSince returns since when the node has heard of newer configurations than it has, or
+// the zero time if it has the newest that it knows of.
 func (g *Gossiper) BehindSince() time.Time {
 	own, _ := g.configurations.Newest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if own >= g.awaited {
-		return time.Time{}
+	if newest, ok := g.holders.Newest(); ok && newest.Version > own {
+		return g.behindSince
 	}
-	return g.awaitedSince
+	return time.Time{}
 }
 
 // recordRemoteVersion records which configuration version another node has, and
 // requests a fetch if it is newer than the own one.
 func (g *Gossiper) recordRemoteVersion(holder string, version uint64) {
-	known, _ := g.newestKnownVersion()
 	own, _ := g.configurations.Newest()
 	if version <= own || holder == "" || holder == g.self() {
 		return
 	}
+	now := time.Now()
+	isNear := g.view.RegionOf(holder) == g.view.Self().Region
+	readsStore := g.readsStore(now)
 	g.mu.Lock()
-	if version >= known {
-		g.newestRemote = heldVersion{holder, version}
+	if newest, ok := g.holders.Newest(); !ok || newest.Version <= own {
+		g.behindSince = now
 	}
-	if own >= g.awaited {
-		g.awaitedSince = time.Now()
-	}
-	g.awaited = max(g.awaited, version)
+	g.holders = g.holders.WithOwn(own).With(holder, version, isNear, readsStore, now)
 	g.mu.Unlock()
 	select {
 	case g.fetchRequests <- struct{}{}:
@@ -84,57 +151,112 @@
 	}
 }
 
-// fetchNewerConfigurations fetches configurations that other nodes have and the
-// store has not delivered, until ctx ends.
+// fetchNewerConfigurations fetches configurations that other nodes have, until ctx ends.
 func (g *Gossiper) fetchNewerConfigurations(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.fetchRequests:
+	for ctx.Err() == nil {
+		now := time.Now()
+		next, ok := g.nextHolder(now)
+		switch {
+		case ok && !now.Before(next.AskAt):
+			version, _ := g.newestKnownVersion()
+			g.advertiseVersion(ctx, version)
+			g.startFetch(ctx, next, now)
+		case ok:
+			g.awaitFetchRequest(ctx, time.After(next.AskAt.Sub(now)))
+		default:
+			g.awaitFetchRequest(ctx, nil)
 		}
-		version, _ := g.newestKnownVersion()
-		g.advertiseVersion(ctx, version)
-		sleep(ctx, fetchDelay)
-		g.fetchConfiguration(ctx)
 	}
 }
 
-// fetchConfiguration fetches the newest known configuration from its holder,
-// unless the node has it already.
-func (g *Gossiper) fetchConfiguration(ctx context.Context) {
-	version, holder := g.newestKnownVersion()
-	if holder == "" || ctx.Err() != nil {
-		return
+// startFetch begins a fetch and returns when it has ended, or when it is time to ask another
+// holder as well.
+func (g *Gossiper) startFetch(ctx context.Context, h distribution.Holder, now time.Time) {
+	g.mu.Lock()
+	g.holders = g.holders.WithAsked(h.Address, now.Add(fetchTimeout))
+	g.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.fetchConfiguration(ctx, h)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	case <-time.After(hedgeDelay):
 	}
-	own, _ := g.configurations.Newest()
-	var reply Message
-	calledAt := time.Now()
-	if !g.call(ctx, Record{ControlAddress: holder}, methodFetch, Message{Sender: g.self(), ConfigurationVersion: own}, &reply) || len(reply.Configuration) == 0 {
-		// The holder is unreachable or has restarted without the configuration.
-		// Later comparisons name a holder again.
-		g.mu.Lock()
-		g.newestRemote = heldVersion{}
-		g.mu.Unlock()
-		g.logger.Info("fetching a newer configuration failed", "node", holder, "version", version, "own_version", own,
-			"took_ms", time.Since(calledAt).Milliseconds())
-		return
+}
+
+// awaitFetchRequest waits for a newer version or for the time.
+func (g *Gossiper) awaitFetchRequest(ctx context.Context, due <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-g.fetchRequests:
+	case <-due:
 	}
-	g.logger.Info("configuration fetched from another node", "node", holder, "version", reply.ConfigurationVersion, "own_version", own,
-		"bytes", len(reply.Configuration), "took_ms", time.Since(calledAt).Milliseconds())
-	g.applyConfiguration(reply.Configuration, holder)
 }
 
-// applyConfiguration applies a compressed configuration that another node sent.
-func (g *Gossiper) applyConfiguration(compressed []byte, source string) {
-	if len(compressed) == 0 {
+// nextHolder returns the node that is asked next for a newer configuration.
+func (g *Gossiper) nextHolder(now time.Time) (distribution.Holder, bool) {
+	own, _ := g.configurations.Newest()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holders = g.holders.WithOwn(own)
+	return g.holders.Next(now)
+}
+
+// fetchConfiguration fetches a newer configuration from its holder: the difference to the
+// own one or, where that fails, the whole.
+func (g *Gossiper) fetchConfiguration(ctx context.Context, h distribution.Holder) {
+	own, encoded := g.configurations.Newest()
+	request := Message{Sender: g.self(), ConfigurationVersion: own}
+	if own > 0 {
+		request.ConfigurationDigest = patch.Digest(encoded)
+	}
+	err := g.fetchFrom(ctx, h, request, encoded)
+	if err != nil && request.ConfigurationDigest != 0 && ctx.Err() == nil && !isFailedCall(err) {
+		request.ConfigurationDigest = 0
+		err = g.fetchFrom(ctx, h, request, nil)
+	}
+	if err == nil || ctx.Err() != nil {
 		return
 	}
-	encoded, err := decompress(compressed)
-	if err == nil {
-		err = g.configurations.Offer(encoded, source)
+	g.mu.Lock()
+	g.holders = g.holders.WithFailure(h.Address, time.Now())
+	g.mu.Unlock()
+	g.logger.Warn("fetching a newer configuration failed", "node", h.Address, "version", h.Version, "own_version", own, "reason", err)
+}
+
+// fetchFrom makes one call to a holder and applies what it replies.
+func (g *Gossiper) fetchFrom(ctx context.Context, h distribution.Holder, request Message, own []byte) error {
+	calledAt := time.Now()
+	var reply Message
+	if !g.callWithin(ctx, fetchTimeout, Record{ControlAddress: h.Address}, methodFetch, request, &reply) {
+		return errNoReply
 	}
+	encoded, err := reply.configuration(own)
 	if err != nil {
-		g.logger.Warn("configuration from another node rejected", "node", source, "reason", err)
+		return err
+	}
+	g.logger.Info("configuration fetched from another node", "node", h.Address, "version", reply.ConfigurationVersion,
+		"own_version", request.ConfigurationVersion, "bytes", reply.configurationBytes(), "patches", len(reply.Patches),
+		"near", h.IsNear, "took_ms", time.Since(calledAt).Milliseconds())
+	g.mu.Lock()
+	before := g.history
+	for _, p := range reply.Patches {
+		g.history = g.history.With(p)
+	}
+	g.fetched = heldVersion{h.Address, reply.ConfigurationVersion}
+	g.mu.Unlock()
+	err = g.configurations.Offer(encoded, h.Address)
+	active, _ := g.configurations.Newest()
+	if active != reply.ConfigurationVersion {
+		g.mu.Lock()
+		g.history = before
+		g.mu.Unlock()
+	}
+	if err == nil && active <= request.ConfigurationVersion {
+		return errNotHeld
 	}
+	return err
 }
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -176,14 +176,13 @@
 	return v.sorted
 }
 
-// Place returns the index of the node's own record in Nodes, and the number of records. A
-// node that has left counts as the first of one.
-func (v *View) Place() (index, count int) {
-	nodes := v.Nodes()
-	self := v.Self().ControlAddress
-	i, ok := slices.BinarySearchFunc(nodes, self, func(r Record, address string) int { return strings.Compare(r.ControlAddress, address) })
-	if !ok {
-		return 0, max(1, len(nodes))
+// RegionOf returns the region of the node with a control address, or "" if no such node is
+// known or if it has left.
+func (v *View) RegionOf(address string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r := v.records[address]; !r.Gone {
+		return r.Region
 	}
-	return i, len(nodes)
+	return ""
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -139,11 +139,11 @@
 		Incarnation: time.Now().UnixMilli(),
 	})
 	n.view.WithOwnRecordHandler(n.learnDepartures)
-	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.view, n.logger.Named("configuration"))
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
 	n.gossiper = membership.NewGossiper(n.view, n.configuration, n.quarantine, pool, n.logger.Named("roster")).WithContacts(&n.contacts)
+	n.follower = follower.New(n.platform.ConfigurationSource, n.configuration, n.gossiper, n.logger.Named("configuration")).WithDuty(n.gossiper)
 	n.quotas = quota.NewHome(n.view.Self().ControlAddress, n.view, pool)
 
 	n.bodies = http1.NewBodyBudget(bodyBudgetBytes(s.MemoryBytes))
