soak, link: seeds with a large configuration and a store behind a narrow link

One seed in three publishes 1,400 routes more, eight versions in quick succession, and lets the nodes outside of the first region share 60 Mbit/s for what the store sends. The other faults of a seed stay as they are.

--- a/soak/publish.go
+++ b/soak/publish.go
@@ -22,7 +22,7 @@
 	weightedServices := func(service string) []configuration.DraftWeightedService {
 		return []configuration.DraftWeightedService{{Service: service, Weight: 1}}
 	}
-	encoded, err := platform.EncodeConfiguration(configuration.Draft{
+	draft := configuration.Draft{
 		Version:  version,
 		Services: []configuration.DraftService{{Name: "tablero"}, {Name: "reparto"}},
 		Routes: []configuration.DraftRoute{
@@ -31,7 +31,13 @@
 			{Name: "check", Host: "roster.example", Prefix: "/check/", TimeoutMillis: 1000, TargetLatencyMillis: 300, Priority: 1, MaxAttempts: 2, WeightedServices: weightedServices("reparto")},
 		},
 		Customers: f.customers,
-	})
+	}
+	if hasNarrowLink(f.options.Seed) {
+		for i := range narrowRoutes {
+			draft.Routes = append(draft.Routes, narrowRoute(i, version))
+		}
+	}
+	encoded, err := platform.EncodeConfiguration(draft)
 	if err != nil {
 		return err
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -91,7 +91,7 @@
 	}
 	events = insertNotices(insertReversion(events, seed, duration), seed, nodes, duration)
 	events = insertOddEntries(insertSilence(events, seed, nodes, duration), seed, nodes, duration)
-	return insertCustomerChanges(events, seed, duration)
+	return insertStorm(insertCustomerChanges(events, seed, duration), seed, duration)
 }
 
 // insertSilence adds connections of all nodes that fall silent, with a version that is
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -184,6 +184,8 @@
 
 func (f *fleet) serviceOf(node int) string { return []string{"tablero", "reparto"}[node%2] }
 
+func (f *fleet) regionOf(node int) string { return fmt.Sprintf("r%d", node/4) }
+
 func (f *fleet) executionFile(node int) string {
 	return filepath.Join(f.options.LogDir, fmt.Sprintf("ran%d", node))
 }
@@ -219,6 +221,9 @@
 			return err
 		}
 	}
+	if hasNarrowLink(f.options.Seed) {
+		f.narrowLinks()
+	}
 	if err := f.publish(ctx); err != nil {
 		return err
 	}
@@ -246,7 +251,7 @@
 		"--reached-gate", f.address(i, portGateLink), "--reached-control", f.address(i, portControlLink),
 		"--admin", f.address(i, portAdmin), "--ready", f.address(i, portReady), "--metrics", f.address(i, portMetrics),
 		"--target", f.address(i, portTarget), "--service", f.serviceOf(i), "--store", f.address(i, portStoreLink),
-		"--region", fmt.Sprintf("r%d", i/4), "--data-centre", fmt.Sprintf("d%d", i/2), "--grace", grace.String()))
+		"--region", f.regionOf(i), "--data-centre", fmt.Sprintf("d%d", i/2), "--grace", grace.String()))
 	f.targets = append(f.targets, f.newProcess(fmt.Sprintf("target%d", i), "standin", "target",
 		"--listen", f.address(i, portTarget), "--admin", f.address(i, portAdmin), "--service", f.serviceOf(i),
 		"--drain", drainTime.String(), "--late-announcement", lateAnnouncement.String(), "--ran-file", f.executionFile(i)))
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -37,6 +38,8 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]bool
+	// bandwidth limits the bytes to the caller; nil means no limit.
+	bandwidth *Bandwidth
 	// silenced is closed when the connections that are open then fall silent.
 	silenced chan struct{}
 }
@@ -107,12 +110,30 @@
 		case m == Delay:
 			time.Sleep(delay)
 		}
+		if b := k.currentBandwidth(); b != nil && isResponse {
+			// The context never ends: a closed connection shows when it is written to.
+			_ = b.Wait(context.Background(), n)
+		}
 		if _, err := dst.Write(buf[:n]); err != nil {
 			return
 		}
 	}
 }
 
+// SetBandwidth makes all connections share a capacity, with those of other links that have
+// the same one, for what the target sends; nil removes the limit.
+func (k *Link) SetBandwidth(b *Bandwidth) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.bandwidth = b
+}
+
+func (k *Link) currentBandwidth() *Bandwidth {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.bandwidth
+}
+
 func (k *Link) currentMode() Mode {
 	k.mu.Lock()
 	defer k.mu.Unlock()
