--- a/process/membership/model_test.go
+++ b/process/membership/model_test.go
@@ -105,15 +105,22 @@
 		n := &modelNode{fleet: m, record: r}
 		m.nodes = append(m.nodes, n)
 		m.byAddr[r.ControlAddress] = n
-		n.start(ctx, records)
+	}
+	var started []func()
+	for _, n := range m.nodes {
+		started = append(started, n.prepare(ctx, records))
+	}
+	for _, start := range started {
+		start()
 	}
 	return m
 }
 
 func regionName(i int) string { return "r" + strconv.Itoa(i) }
 
-// start runs the node, which knows the given records.
-func (n *modelNode) start(ctx context.Context, known []membership.Record) {
+// prepare creates the node, which knows the given records, and returns the function that
+// runs it.
+func (n *modelNode) prepare(ctx context.Context, known []membership.Record) (start func()) {
 	ctx, n.stop = context.WithCancel(ctx)
 	logger := hclog.NewNullLogger()
 	view := membership.NewView(n.record)
@@ -122,8 +129,10 @@
 	n.gossiper = membership.NewGossiper(view, n.current, quarantine.NewTable(logger), n, logger)
 	n.receiver = membership.NewReceiver(n.gossiper)
 	f := follower.New(n, n.current, n.gossiper, logger).WithDuty(n.gossiper)
-	go f.Run(ctx)
-	go n.gossiper.Run(ctx)
+	return func() {
+		go f.Run(ctx)
+		go n.gossiper.Run(ctx)
+	}
 }
 
 // decodeVersion decodes the version of a configuration of encodeRoutes.
