--- a/process/membership/model_test.go
+++ b/process/membership/model_test.go
@@ -49,6 +49,9 @@
 	gossiper *membership.Gossiper
 	receiver *membership.Receiver
 	stop     context.CancelFunc
+	// isOld means that the node is of a build in which each node reads the store, and whose
+	// messages lack the fields of this one.
+	isOld bool
 
 	// The fields below are guarded by the model's mutex.
 	// isDown makes calls to the node fail at once; it is stopped.
@@ -85,6 +88,11 @@
 // newModel returns a running fleet with the given numbers of nodes by region, which know
 // each other.
 func newModel(ctx context.Context, tb testing.TB, bytesPerSecond float64, first []byte, sizes ...int) *model {
+	return newModelWith(ctx, tb, bytesPerSecond, first, func(*modelNode) {}, sizes...)
+}
+
+// newModelWith is newModel with a function that changes the nodes before they start.
+func newModelWith(ctx context.Context, tb testing.TB, bytesPerSecond float64, first []byte, change func(*modelNode), sizes ...int) *model {
 	m := &model{
 		tb: tb, random: rand.New(rand.NewPCG(1, 2)), records: [][]byte{first}, appended: make(chan struct{}),
 		byAddr: map[string]*modelNode{}, links: map[[2]string]*link.Bandwidth{},
@@ -108,6 +116,7 @@
 	}
 	var started []func()
 	for _, n := range m.nodes {
+		change(n)
 		started = append(started, n.prepare(ctx, records))
 	}
 	for _, start := range started {
@@ -128,7 +137,10 @@
 	n.current = follower.NewCurrent(decodeVersion, logger)
 	n.gossiper = membership.NewGossiper(view, n.current, quarantine.NewTable(logger), n, logger)
 	n.receiver = membership.NewReceiver(n.gossiper)
-	f := follower.New(n, n.current, n.gossiper, logger).WithDuty(n.gossiper)
+	f := follower.New(n, n.current, n.gossiper, logger)
+	if !n.isOld {
+		f = f.WithDuty(n.gossiper)
+	}
 	return func() {
 		go f.Run(ctx)
 		go n.gossiper.Run(ctx)
@@ -305,15 +317,19 @@
 	if isDown {
 		return errDown
 	}
-	result := &membership.Message{}
+	request, result := args.(membership.Message), &membership.Message{}
+	isTell := method == membership.ReceiverName+".Tell"
+	if n.isOld || peer.isOld {
+		request = asOld(request, isTell)
+	}
 	var err error
 	switch method {
 	case membership.ReceiverName + ".Tell":
-		err = peer.receiver.Tell(args.(membership.Message), result)
+		err = peer.receiver.Tell(request, result)
 	case membership.ReceiverName + ".Fetch":
-		err = peer.receiver.Fetch(args.(membership.Message), result)
+		err = peer.receiver.Fetch(request, result)
 	case membership.ReceiverName + ".Compare":
-		err = peer.receiver.Compare(args.(membership.Message), result)
+		err = peer.receiver.Compare(request, result)
 	default:
 		err = errors.Errorf("unknown method %s", method)
 	}
@@ -323,10 +339,23 @@
 	if err := m.carry(ctx, peer.record.Region, n.record.Region, encodedSize(m.tb, result)); err != nil {
 		return err
 	}
+	if n.isOld || peer.isOld {
+		*result = asOld(*result, isTell)
+	}
 	*reply.(*membership.Message) = *result
 	return nil
 }
 
+// asOld returns a message without what older builds neither send nor read.
+func asOld(m membership.Message, isTell bool) membership.Message {
+	m.ConfigurationDigest, m.Patches, m.WantsReaders = 0, nil, false
+	m.ReaderAge, m.ReadVersion, m.ReadEra, m.ReadOffset = 0, 0, 0, 0
+	if isTell {
+		m.ConfigurationVersion, m.ConfigurationHolder = 0, ""
+	}
+	return m
+}
+
 // encodedSize returns the size of a message in a call.
 func encodedSize(tb testing.TB, message any) int {
 	const framing = 40
--- a/process/membership/readers_fail_test.go
+++ b/process/membership/readers_fail_test.go
@@ -149,3 +149,27 @@
 		})
 	}
 }
+
+// While a fleet is updated node by node, old and new builds must get each version in time, and
+// a new one must not rely on readers of an old build, which do not tell it.
+func TestVersionsAreOnTimeBesideOlderBuilds(t *testing.T) {
+	for _, share := range []float64{0.1, 0.5, 0.9} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(3, 1))
+				ctx, cancel := context.WithCancel(t.Context())
+				m := newModelWith(ctx, t, wideLink, encodeRoutes(1, 100), func(n *modelNode) { n.isOld = random.Float64() < share }, 20, 20)
+				time.Sleep(8 * time.Second)
+				for version := uint64(2); version < 12; version++ {
+					m.publish(encodeRoutes(version, 100))
+					time.AfterFunc(configurationDelay, func() { m.requireVersion(version) })
+					time.Sleep(time.Duration(random.Float64() * float64(3*time.Second)))
+				}
+				time.Sleep(configurationDelay)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
