--- a/process/membership/versions.go
+++ b/process/membership/versions.go
@@ -9,6 +9,10 @@
 	"github.com/cuminwheel/cuminwheel/version/patch"
 )
 
+// minPatchedBytes is the size from which differences are made. Smaller configurations are
+// sent whole, in about as many bytes.
+const minPatchedBytes = 16 << 10
+
 // announceVersions tells other nodes of each configuration that the node applies, until ctx
 // ends.
 func (g *Gossiper) announceVersions(ctx context.Context) {
@@ -39,7 +43,7 @@
 		source = g.fetched.holder
 	}
 	g.mu.Unlock()
-	if isKnown || last == nil {
+	if isKnown || last == nil || len(encoded) < minPatchedBytes {
 		return source
 	}
 	p, err := patch.Make(last, encoded)
