membership: a holder that names a newer version during a fetch is asked for it at once

A version was late by up to 10 s where only one node had it: the holder counted as being asked until the time limit of the fetch, also once that had ended. TestHolderIsAskedForTheVersionAfterAFetch failed before.

--- a/process/membership/transfer_test.go
+++ b/process/membership/transfer_test.go
@@ -153,3 +153,35 @@
 		is.True(g.BehindSince().IsZero())
 	})
 }
+
+// Guards against a version that a holder names while another one is fetched from it, and that
+// it is then not asked for.
+func TestHolderIsAskedForTheVersionAfterAFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		holder := newRecord(2, 1).ControlAddress
+		held := 2
+		holders := &scriptedHolders{fetches: map[string]int{}}
+		holders.replies = map[string]func(Message) (Message, error){holder: func(Message) (Message, error) {
+			compressed, err := compress(versionJSON(held))
+			version := held
+			time.Sleep(200 * time.Millisecond)
+			return Message{ConfigurationVersion: uint64(version), Configuration: compressed}, err
+		}}
+		c := &jsonConfigurations{fakeConfigurations: fakeConfigurations{changed: make(chan struct{})}}
+		v := NewView(newRecord(0, 1))
+		v.Merge([]Record{newRecord(2, 1)})
+		g := NewGossiper(v, c, quarantine.NewTable(hclog.NewNullLogger()), holders, hclog.NewNullLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.fetchNewerConfigurations(ctx)
+		g.recordRemoteVersion(holder, 2)
+		time.Sleep(100 * time.Millisecond)
+		held = 3
+		g.recordRemoteVersion(holder, 3)
+		time.Sleep(time.Second)
+		version, _ := c.Newest()
+		is.Equal(version, uint64(3))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/process/membership/versions.go
+++ b/process/membership/versions.go
@@ -222,13 +222,24 @@
 		request.ConfigurationDigest = 0
 		err = g.fetchFrom(ctx, h, request, nil)
 	}
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
+	g.recordFetch(h.Address, err == nil, time.Now())
+	if err != nil {
+		g.logger.Warn("fetching a newer configuration failed", "node", h.Address, "version", h.Version, "own_version", own, "reason", err)
+	}
+}
+
+// recordFetch notes the end of a fetch. The holder may have a still newer version by then.
+func (g *Gossiper) recordFetch(holder string, succeeded bool, now time.Time) {
 	g.mu.Lock()
-	g.holders = g.holders.WithFailure(h.Address, time.Now())
-	g.mu.Unlock()
-	g.logger.Warn("fetching a newer configuration failed", "node", h.Address, "version", h.Version, "own_version", own, "reason", err)
+	defer g.mu.Unlock()
+	if succeeded {
+		g.holders = g.holders.WithAsked(holder, now)
+		return
+	}
+	g.holders = g.holders.WithFailure(holder, now)
 }
 
 // fetchFrom makes one call to a holder and applies what it replies.
