--- a/process/membership/doc.go
+++ b/process/membership/doc.go
@@ -12,8 +12,11 @@
 // store has lost records. From the start on a Gossiper spreads records from node to
 // node. Records that are new to a node are pushed at once to a few random nodes, and each node regularly compares a digest of
 // its view with that of a random node, mostly one of its own region, since
-// traffic between regions is billed. The same calls carry the configuration to
-// nodes that cannot reach the store.
+// traffic between regions is billed.
+//
+// The same calls carry configurations: the Gossiper applies the decisions of package
+// distribution on who reads the store (readers.go), tells and asks whom (versions.go), and
+// transfers the difference between two versions (transfer.go).
 //
 // A record also lists the departures of the node's target: the leaves that its gate has
 // confirmed. A node that restarts gets them back with its former record, from the store
