--- a/connection/peerrpc/pool_test.go
+++ b/connection/peerrpc/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +44,32 @@
 	is.NoErr(call())
 	is.NoErr(call())
 }
+
+// Guards against a long reply that is given up while it arrives, over a link that is slow:
+// what has crossed it would have to cross it again.
+func TestReplyThatStillArrivesIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closeServer, err := Serve(l, map[string]any{"Echo": Echo{}})
+	is.NoErr(err)
+	defer closeServer()
+	k, closeLink, err := link.New("127.0.0.1:0", l.Addr().String())
+	is.NoErr(err)
+	defer closeLink()
+	pool, closePool := NewPool()
+	defer closePool()
+	call := func(request string) string {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		var reply string
+		is.NoErr(pool.Call(ctx, k.Address(), "Echo.Reply", request, &reply))
+		return reply
+	}
+	k.SetBandwidth(link.NewBandwidth(500e3))
+	long := strings.Repeat("x", 800e3)
+	startedAt := time.Now()
+	is.Equal(len(call(long)), len(long)) // over a new connection
+	is.Equal(len(call(long)), len(long)) // over the same one
+	is.True(time.Since(startedAt) > 2*silenceTimeout+newSilenceTimeout)
+}
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -42,6 +42,10 @@
 	// silent makes Next wait until its context ends.
 	silent bool
 	calls  int
+	// transfer is how long the records of a response take to arrive, bytes of them all the
+	// while.
+	transfer   time.Duration
+	receivedAt time.Time
 	// appended is closed when a record is published.
 	appended chan struct{}
 	// silenced is closed when the calls that wait are silenced. Later calls work.
@@ -100,8 +104,22 @@
 	return Batch{Encoded: [][]byte{[]byte(s.records[len(s.records)-1])}, Next: distribution.Position{Offset: int64(len(s.records))}}, nil
 }
 
-// ReceivedAt returns the zero time: responses arrive at once.
-func (s *source) ReceivedAt() time.Time { return time.Time{} }
+func (s *source) ReceivedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.receivedAt
+}
+
+// receive returns when the records of a response have arrived.
+func (s *source) receive(ctx context.Context) {
+	s.mu.Lock()
+	end := time.Now().Add(s.transfer)
+	s.mu.Unlock()
+	for time.Now().Before(end) && ctx.Err() == nil {
+		s.update(func(s *source) { s.receivedAt = time.Now() })
+		time.Sleep(100 * time.Millisecond)
+	}
+}
 
 func (s *source) Next(ctx context.Context, from distribution.Position, wait time.Duration) (Batch, error) {
 	position := from.Offset
@@ -132,6 +150,10 @@
 		<-ctx.Done()
 		return Batch{}, ctx.Err()
 	}
+	s.receive(ctx)
+	if ctx.Err() != nil {
+		return Batch{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list [][]byte
@@ -218,6 +240,24 @@
 	})
 }
 
+// Guards against a response that is given up while it arrives, since another node has
+// delivered a version meanwhile: its bytes would have to be sent again.
+func TestResponseThatStillArrivesIsNotGivenUp(t *testing.T) {
+	runFollower(t, place{7, 100}, func(*source) {}, func(s *source, c *Current) {
+		is := is.New(t)
+		time.Sleep(time.Second)
+		s.update(func(s *source) { s.transfer = 8 * time.Second })
+		var calls int
+		s.update(func(s *source) { calls = s.calls })
+		s.publish("3")
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(c.Offer([]byte("2"), "another node"))
+		time.Sleep(9 * time.Second)
+		is.Equal(c.Configuration().Version, uint64(3))
+		s.update(func(s *source) { is.True(s.calls <= calls+1) })
+	})
+}
+
 // Calls to the store are billed. Without changes there must be about two in a minute
 // in a large fleet, at most four in a second of a small one as a whole, and while the
 // store fails fewer than about one in a second.
--- a/process/membership/transfer_test.go
+++ b/process/membership/transfer_test.go
@@ -95,7 +95,7 @@
 			}
 			return sound(m)
 		}, 2},
-		{"patches that lead to no configuration", func(m Message) (Message, error) {
+		{"patches that lead to no configuration", func(Message) (Message, error) {
 			p, err := patch.Make(versionJSON(2), []byte(`{"version":`))
 			return Message{ConfigurationVersion: 3, Patches: []patch.Patch{p}}, err
 		}, 2},
