follower: a probe of a slow store is not given up as silence

Since a failed call is followed by a read from the known position in place of the newest configuration, the limit for silent waits (1 s after the end of the wait) applied to it, so that a store whose responses take 1 to 3 s would never have been followed. The client of the store limits a probe now, as it did before. TestSlowSourceIsFollowed fails without it. Found by reading the change.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -174,11 +174,11 @@
 			position = f.latest(position)
 		}
 		calledAt := time.Now()
-		wait := minWait // shows soon whether the source responds again
-		if backoff == 0 {
-			wait = f.nextWait(f.clock())
+		wait, isProbe := f.nextWait(f.clock()), backoff > 0
+		if isProbe {
+			wait = minWait // shows soon whether the source responds again
 		}
-		next, received, err := f.poll(ctx, position, wait)
+		next, received, err := f.poll(ctx, position, wait, isProbe)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -283,8 +283,9 @@
 
 // poll makes one call to the source and offers what it returns to Current: Newest
 // if the position is nil, otherwise Next. It returns the position for the next
-// call, and whether Next returned any configuration.
-func (f *Follower) poll(ctx context.Context, position *distribution.Position, wait time.Duration) (next distribution.Position, received bool, err error) {
+// call, and whether Next returned any configuration. A probe may take as long as the source
+// allows: one that is slow still responds.
+func (f *Follower) poll(ctx context.Context, position *distribution.Position, wait time.Duration, isProbe bool) (next distribution.Position, received bool, err error) {
 	if position == nil {
 		batch, err := f.source.Newest(ctx)
 		if err == nil {
@@ -295,7 +296,9 @@
 	waitCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cancelIfSuperseded(waitCtx, cancel)
-	go f.cancelWhenStalled(waitCtx, wait+silenceGrace, func() { cancel(errSilent) })
+	if !isProbe {
+		go f.cancelWhenStalled(waitCtx, wait+silenceGrace, func() { cancel(errSilent) })
+	}
 	batch, err := f.source.Next(waitCtx, *position, wait)
 	if err != nil {
 		return *position, false, err
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -42,6 +42,8 @@
 	// silent makes Next wait until its context ends.
 	silent bool
 	calls  int
+	// latency is how long the source takes before it responds.
+	latency time.Duration
 	// transfer is how long the records of a response take to arrive, bytes of them all the
 	// while.
 	transfer   time.Duration
@@ -150,6 +152,10 @@
 		<-ctx.Done()
 		return Batch{}, ctx.Err()
 	}
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	sleep(ctx, latency)
 	s.receive(ctx)
 	if ctx.Err() != nil {
 		return Batch{}, ctx.Err()
@@ -258,6 +264,21 @@
 	})
 }
 
+// Guards against a source that is slow, and whose every response is given up as silence.
+func TestSlowSourceIsFollowed(t *testing.T) {
+	runFollower(t, place{7, 100}, func(*source) {}, func(s *source, c *Current) {
+		is := is.New(t)
+		time.Sleep(time.Second)
+		s.update(func(s *source) { s.latency = 2 * time.Second })
+		s.publish("2")
+		time.Sleep(10 * time.Second)
+		is.Equal(c.Configuration().Version, uint64(2))
+		s.publish("3")
+		time.Sleep(10 * time.Second)
+		is.Equal(c.Configuration().Version, uint64(3))
+	})
+}
+
 // Calls to the store are billed. Without changes there must be about two in a minute
 // in a large fleet, at most four in a second of a small one as a whole, and while the
 // store fails fewer than about one in a second.
