--- a/connection/peerrpc/pool_test.go
+++ b/connection/peerrpc/pool_test.go
@@ -19,20 +19,28 @@
 	return nil
 }
 
-// A connection can fall silent without an error. A call on it must still get its reply in
-// time, over a new connection, or word of a new configuration is lost with each such call.
-func TestCallOnSilentConnectionIsRepeated(t *testing.T) {
+// startPeer serves Echo behind a link, and returns the link with a pool.
+func startPeer(t *testing.T) (*Pool, *link.Link) {
+	t.Helper()
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	closeServer, err := Serve(l, map[string]any{"Echo": Echo{}})
 	is.NoErr(err)
-	defer closeServer()
+	t.Cleanup(closeServer)
 	k, closeLink, err := link.New("127.0.0.1:0", l.Addr().String())
 	is.NoErr(err)
-	defer closeLink()
+	t.Cleanup(closeLink)
 	pool, closePool := NewPool()
-	defer closePool()
+	t.Cleanup(closePool)
+	return pool, k
+}
+
+// A connection can fall silent without an error. A call on it must still get its reply in
+// time, over a new connection, or word of a new configuration is lost with each such call.
+func TestCallOnSilentConnectionIsRepeated(t *testing.T) {
+	is := is.New(t)
+	pool, k := startPeer(t)
 	call := func() error {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -49,16 +57,7 @@
 // what has crossed it would have to cross it again.
 func TestReplyThatStillArrivesIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	closeServer, err := Serve(l, map[string]any{"Echo": Echo{}})
-	is.NoErr(err)
-	defer closeServer()
-	k, closeLink, err := link.New("127.0.0.1:0", l.Addr().String())
-	is.NoErr(err)
-	defer closeLink()
-	pool, closePool := NewPool()
-	defer closePool()
+	pool, k := startPeer(t)
 	call := func(request string) string {
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -362,49 +361,3 @@
 	*reply = reply.checked()
 	return true
 }
-
-// pickPeer returns a random other node, mostly one of the own region. It leaves out nodes
-// that do not respond as long as others do.
-func (g *Gossiper) pickPeer() (Record, bool) {
-	if peer, ok := g.pickAmong(g.reachableNodes()); ok {
-		return peer, true
-	}
-	return g.pickAmong(g.view.Nodes())
-}
-
-// reachableNodes returns the nodes that are not known to be down.
-func (g *Gossiper) reachableNodes() []Record {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	nodes := g.view.Nodes()
-	if len(g.unreachable) == 0 {
-		return nodes
-	}
-	return slices.DeleteFunc(slices.Clone(nodes), func(r Record) bool {
-		_, isDown := g.unreachable[r.ControlAddress]
-		return isDown
-	})
-}
-
-// pickAmong returns a random node other than the own one, mostly one of the own region.
-func (g *Gossiper) pickAmong(nodes []Record) (Record, bool) {
-	self := g.view.Self()
-	var local, remote []Record
-	for _, r := range nodes {
-		switch {
-		case r.ControlAddress == self.ControlAddress:
-		case r.Region == self.Region:
-			local = append(local, r)
-		default:
-			remote = append(remote, r)
-		}
-	}
-	peers := local
-	if len(local) == 0 || len(remote) > 0 && rand.Float64() < remoteShare {
-		peers = remote
-	}
-	if len(peers) == 0 {
-		return Record{}, false
-	}
-	return peers[rand.IntN(len(peers))], true
-}
--- a/process/membership/readers.go
+++ b/process/membership/readers.go
@@ -10,10 +10,6 @@
 	"github.com/cuminwheel/cuminwheel/process/distribution"
 )
 
-// probeInterval is the time between two calls to a node that did not respond, to learn
-// whether it is back.
-const probeInterval = 5 * time.Second
-
 // currentTree returns the node's place among those that it does not know to be down.
 func (g *Gossiper) currentTree() distribution.Tree {
 	version := g.view.Version()
@@ -34,22 +30,6 @@
 	return g.tree
 }
 
-// recordContact notes whether a node responded.
-func (g *Gossiper) recordContact(address string, reached bool, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_, wasDown := g.unreachable[address]
-	switch {
-	case reached && wasDown:
-		delete(g.unreachable, address)
-	case !reached:
-		g.unreachable[address] = now.Add(probeInterval)
-	}
-	if reached == wasDown {
-		g.treeIsStale = true
-	}
-}
-
 // Place returns the index of the node among those that read the store, and their number.
 func (g *Gossiper) Place() (index, count int) { return g.currentTree().Place() }
 
@@ -184,21 +164,3 @@
 	}
 	checks.Wait()
 }
-
-// probeUnreachable calls one node that did not respond, if it is time to.
-func (g *Gossiper) probeUnreachable(ctx context.Context, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for address, at := range g.unreachable {
-		if now.Before(at) {
-			continue
-		}
-		if g.view.RegionOf(address) == "" {
-			delete(g.unreachable, address)
-			continue
-		}
-		g.unreachable[address] = now.Add(probeInterval)
-		go g.check(ctx, address)
-		return
-	}
-}
