--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -113,10 +113,8 @@
 }
 
 // receive returns when the records of a response have arrived.
-func (s *source) receive(ctx context.Context) {
-	s.mu.Lock()
-	end := time.Now().Add(s.transfer)
-	s.mu.Unlock()
+func (s *source) receive(ctx context.Context, transfer time.Duration) {
+	end := time.Now().Add(transfer)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.update(func(s *source) { s.receivedAt = time.Now() })
 		time.Sleep(100 * time.Millisecond)
@@ -153,10 +151,12 @@
 		return Batch{}, ctx.Err()
 	}
 	s.mu.Lock()
-	latency := s.latency
+	latency, transfer := s.latency, s.transfer
 	s.mu.Unlock()
-	sleep(ctx, latency)
-	s.receive(ctx)
+	if latency+transfer > 0 {
+		sleep(ctx, latency)
+		s.receive(ctx, transfer)
+	}
 	if ctx.Err() != nil {
 		return Batch{}, ctx.Err()
 	}
