--- a/process/distribution/holders.go
+++ b/process/distribution/holders.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -121,15 +122,7 @@
 	if len(h.known) == 0 {
 		return Holder{}, false
 	}
-	return slices.MaxFunc(h.known, func(a, b Holder) int {
-		switch {
-		case a.Version != b.Version && a.Version < b.Version:
-			return -1
-		case a.Version > b.Version:
-			return 1
-		}
-		return 0
-	}), true
+	return slices.MaxFunc(h.known, func(a, b Holder) int { return cmp.Compare(a.Version, b.Version) }), true
 }
 
 // Next returns the holder that is asked first, which may be later than now.
--- a/process/membership/model_test.go
+++ b/process/membership/model_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -27,8 +27,7 @@
 // links that all connections between two regions share. The store is in the first region.
 // It runs in the virtual time of a synctest bubble.
 type model struct {
-	tb     testing.TB
-	random *rand.Rand
+	tb testing.TB
 
 	mu sync.Mutex
 	// records are the published configurations; the index is the offset.
@@ -94,7 +93,7 @@
 // newModelWith is newModel with a function that changes the nodes before they start.
 func newModelWith(ctx context.Context, tb testing.TB, bytesPerSecond float64, first []byte, change func(*modelNode), sizes ...int) *model {
 	m := &model{
-		tb: tb, random: rand.New(rand.NewPCG(1, 2)), records: [][]byte{first}, appended: make(chan struct{}),
+		tb: tb, records: [][]byte{first}, appended: make(chan struct{}),
 		byAddr: map[string]*modelNode{}, links: map[[2]string]*link.Bandwidth{},
 	}
 	var records []membership.Record
@@ -228,19 +227,11 @@
 		return errors.New("503")
 	case storeIsSilent:
 		// The client of the store gives up a call after 3 s.
-		return cmpErr(sleepFor(ctx, 3*time.Second), errors.New("no response"))
+		return cmp.Or(sleepFor(ctx, 3*time.Second), errors.New("no response"))
 	}
 	return m.carry(ctx, n.record.Region, regionName(0), callBytes)
 }
 
-// cmpErr returns the first error that is not nil.
-func cmpErr(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 // Newest implements follower.Source. The store encodes values in base64.
 func (n *modelNode) Newest(ctx context.Context) (follower.Batch, error) {
 	if err := n.callStore(ctx); err != nil {
@@ -312,7 +303,7 @@
 	isCut, isDown := n.isCut || peer.isCut, peer.isDown
 	m.mu.Unlock()
 	if isCut {
-		return cmpErr(sleepFor(ctx, silenceTimeout), errors.New("no reply"))
+		return cmp.Or(sleepFor(ctx, silenceTimeout), errors.New("no reply"))
 	}
 	if isDown {
 		return errDown
@@ -373,5 +364,3 @@
 	w.bytes += len(b)
 	return len(b), nil
 }
-
-var _ io.Writer = (*countingWriter)(nil)
--- a/process/membership/versions.go
+++ b/process/membership/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/distribution"
@@ -65,7 +66,7 @@
 	switch {
 	case tree.IsReader():
 		targets = append(targets, tree.Peers()...)
-	case !g.isParent(tree, source):
+	case !slices.Contains(tree.Parents(), source):
 		targets = append(targets, tree.Readers()...)
 	}
 	for _, address := range targets {
@@ -75,16 +76,6 @@
 	}
 }
 
-// isParent reports whether an address is that of a parent in the tree.
-func (g *Gossiper) isParent(t distribution.Tree, address string) bool {
-	for _, p := range t.Parents() {
-		if p == address {
-			return true
-		}
-	}
-	return false
-}
-
 // advertiseVersion starts comparisons with a few nodes if the version has not been
 // advertised yet. They reach nodes that are no descendants of those that have it.
 func (g *Gossiper) advertiseVersion(ctx context.Context, version uint64) {
