http1: a reset during an upload does not end a response

Callers got the beginning of a response as a complete one. A target answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. The goroutine that writes the request's body gets ECONNRESET; the read that follows returns io.EOF, which is the regular end of a body without a length. Do took an error of the writer only as a reason not to reuse the connection.

Change: a response that ended with its connection is ErrTruncated if the request's body could not be written because of the peer. To tell the two ends apart without waiting, Do ends the write itself once such a response is read: nobody reads the rest. An orderly end is therefore passed on at once; before, it waited until the connection failed, 3 s later.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -89,14 +91,30 @@
 		<-bodyWritten
 		return nil, err
 	}
+	if res.endedConnection {
+		// Nobody reads the rest of the request's body.
+		c.conn.SetWriteDeadline(time.Now())
+	}
 	if writeErr := <-bodyWritten; writeErr != nil {
 		reusable = false
+		if res.endedConnection && !isOwnWriteEnd(writeErr) {
+			res.release()
+			c.conn.Close()
+			return nil, errors.Wrap(ErrTruncated, writeErr.Error())
+		}
 	}
 	c.served.add(r.ID, r.Deadline, time.Now())
 	c.reusable = reusable && !c.served.isFull() && stop()
 	return res, nil
 }
 
+// isOwnWriteEnd reports whether a write failed because this side ended it. After any other
+// error the end of the input may be a reset: the kernel reports a reset only once, here to the
+// write, and a read that follows gets io.EOF.
+func isOwnWriteEnd(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 // awaitContinue waits for a 100 response. Any other response is the final one,
 // with which the peer refuses the request.
 func (c *Conn) awaitContinue(ctx context.Context, r Request, responseID IDFunc) (final *Response, reusable bool, err error) {
@@ -181,7 +199,10 @@
 		// Bytes after the response belong to no request, so the connection
 		// cannot be reused.
 		reusable := delimited && !hr.Close && c.reader.Buffered() == 0
-		res := &Response{Status: hr.StatusCode, Header: hr.Header, Body: body, BeganAt: beganAt, SkippedLate: skippedLate, memory: memory}
+		res := &Response{
+			Status: hr.StatusCode, Header: hr.Header, Body: body, BeganAt: beganAt, SkippedLate: skippedLate,
+			endedConnection: !delimited && hr.Body != http.NoBody, memory: memory,
+		}
 		// Releases the memory of a response that nobody passes on.
 		runtime.AddCleanup(res, (*reservation).release, memory)
 		return res, reusable, nil
--- a/connection/http1/response.go
+++ b/connection/http1/response.go
@@ -19,6 +19,8 @@
 	// SkippedLate is how many late responses to earlier requests preceded a response
 	// that Conn.Do returned.
 	SkippedLate int
+	// endedConnection means that Body had no length and ended with the connection.
+	endedConnection bool
 	// memory is the reservation for Body; nil if there is none.
 	memory *reservation
 }
