http1: a field whose name is no token makes an answer malformed

Callers got an answer in whose head the name of a field held a blank, with that line passed on, or with a body that was not the target's: "Content-Length : 5" did not count, and of "Transfer-Encoding : chunked" the chunks themselves became the body. A field that frames the body could also hide in a folded line. Names with blanks in an interim response or in a trailer were skipped.

Cause: heads were left to http.ReadResponse, which keeps such names as they are and joins folded lines. Control bytes in names failed already, as "no answer came"; before a 100 response that was taken for "not run", and the entry sent a request that must not run twice to another gate.

Change: all heads, of interim, 100 and final responses alike, and trailers are read line by line and checked (RFC 9112 5.1, 5.2; names and values with httpguts) before anything in them is used. What fails is ErrMalformed: at gates a failure that leaves the outcome open (answer_malformed) and counts against the target, at entries never "not run", and the connection is closed. The body is read by its framing in the checked head. The case "folded field" of TestCutResponseIsNoResponse becomes stricter: a response with a folded line is none, wherever it ends.

--- a/connection/http1/cut_test.go
+++ b/connection/http1/cut_test.go
@@ -52,7 +52,8 @@
 		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n", false, false},
 		{"no length", status + "Connection: close\r\n\r\n", "hello, world", false, true},
 		{"no length, reset", status + "Connection: close\r\n\r\n", "hello, world", true, false},
-		{"folded field", status + "A: b\r\n c\r\nConnection: close\r\n\r\n", "hello, world", false, true},
+		// A response with a folded field is none, complete or not.
+		{"folded field", status + "A: b\r\n c\r\nConnection: close\r\n\r\n", "hello, world", false, false},
 		{"interim response", "HTTP/1.1 102 Processing\r\n\r\n" + status + "Connection: close\r\n\r\n", "hello, world", false, true},
 	}
 	for _, test := range tests {
--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -27,6 +27,9 @@
 	ErrNoResponse = errors.New("no answer came")
 	// ErrTruncated means that a response began but was not completed.
 	ErrTruncated = errors.New("the answer broke off")
+	// ErrMalformed, an ErrNoResponse, means that what the peer sent violates HTTP, so that
+	// nothing in it can be believed.
+	ErrMalformed error = malformedError{}
 	// ErrMismatchedResponse means that the response belongs to another request.
 	ErrMismatchedResponse = errors.New("the answer belongs to another request")
 	// errResponseTooLarge means that a response's head, framing or interim
@@ -119,34 +122,21 @@
 // with which the peer refuses the request.
 func (c *Conn) awaitContinue(ctx context.Context, r Request, responseID IDFunc) (final *Response, reusable bool, err error) {
 	statusLine, err := c.reader.Peek(12)
-	if err != nil {
-		return nil, false, errors.Wrap(ErrNotSent, causeOr(ctx, err).Error())
-	}
-	if string(statusLine[9:12]) == "100" {
-		if err := c.skipHeader(); err != nil {
-			return nil, false, errors.Wrap(ErrNotSent, causeOr(ctx, err).Error())
-		}
-		return nil, false, nil
-	}
-	res, reusable, err := c.readResponse(ctx, r, responseID)
-	if err != nil {
-		return nil, false, errors.Wrap(ErrNotSent, err.Error())
+	switch {
+	case err != nil:
+	case string(statusLine[9:12]) == "100":
+		_, err = c.readHead(r.Method)
+	default:
+		final, reusable, err = c.readResponse(ctx, r, responseID)
 	}
-	return res, reusable, nil
-}
-
-// skipHeader reads up to the empty line that ends the header.
-func (c *Conn) skipHeader() error {
-	c.input.remaining = maxResponseHeadBytes
-	for {
-		line, err := c.reader.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(strings.TrimSpace(string(line))) == 0 {
-			return nil
-		}
+	switch {
+	case errors.Is(err, ErrMalformed):
+		// Nothing shows that the peer awaits the body.
+		return nil, false, err
+	case err != nil:
+		return nil, false, errors.Wrap(ErrNotSent, causeOr(ctx, err).Error())
 	}
+	return final, reusable, nil
 }
 
 // readResponse reads the final response to the request. It skips interim
@@ -154,12 +144,13 @@
 func (c *Conn) readResponse(ctx context.Context, r Request, responseID IDFunc) (*Response, bool, error) {
 	skippedLate := 0
 	for range maxSkipped + 1 {
-		c.input.remaining = maxResponseHeadBytes
-		hr, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			if ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
-				return nil, false, &causedError{ErrNoResponse, err}
-			}
+		hr, err := c.readHead(r.Method)
+		switch {
+		case errors.Is(err, ErrMalformed):
+			return nil, false, err
+		case err != nil && ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
+			return nil, false, &causedError{ErrNoResponse, err}
+		case err != nil:
 			return nil, false, errors.Wrap(ErrNoResponse, causeOr(ctx, err).Error())
 		}
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
@@ -172,13 +163,13 @@
 		maxBytes := c.bodies.maxBytes()
 		c.input.remaining = int((1+framingShare)*maxBytes) + maxResponseHeadBytes
 		memory := c.bodies.newReservation()
-		body, err := readAll(hr.Body, hr.ContentLength, maxBytes, memory)
+		body, err := c.readBody(hr, maxBytes, memory)
 		c.input.remaining = unlimited
 		if err != nil {
 			memory.release()
 		}
 		switch {
-		case errors.Is(err, ErrBodyMemory):
+		case errors.Is(err, ErrBodyMemory), errors.Is(err, ErrMalformed):
 			return nil, false, err
 		case errors.Is(err, errBodyTooLarge):
 			return nil, false, errors.Wrap(ErrTruncated, errResponseTooLarge.Error())
@@ -223,6 +214,12 @@
 	c.usableUntil = time.Now().Add(idle)
 }
 
+// malformedError is the type of ErrMalformed.
+type malformedError struct{}
+
+func (malformedError) Error() string { return "the answer is malformed" }
+func (malformedError) Unwrap() error { return ErrNoResponse }
+
 // causedError is one of the errors of this package together with its cause.
 type causedError struct{ err, cause error }
 
--- /dev/null
+++ b/connection/http1/head.go
@@ -0,0 +1,136 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// headReaders holds the buffers of heads that are being parsed.
+var headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+
+// initialHeadBytes is the initial size of the buffer of a head.
+const initialHeadBytes = 512
+
+// readHead reads and parses the head of a response to the method. It fails with
+// ErrMalformed if the head violates RFC 9112 or RFC 9110, where package net/http passes on
+// some of what a peer in trouble sends. The body is left to be read by readBody.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.input.remaining = maxResponseHeadBytes
+	head, err := appendLine(make([]byte, 0, initialHeadBytes), c.reader)
+	if err != nil {
+		return nil, err
+	}
+	head, err = c.appendFields(head)
+	if err != nil {
+		return nil, err
+	}
+	br := headReaders.Get().(*bufio.Reader)
+	defer headReaders.Put(br)
+	br.Reset(bytes.NewReader(head))
+	hr, err := http.ReadResponse(br, &http.Request{Method: method})
+	if err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	return hr, nil
+}
+
+// appendFields reads the lines of a header or a trailer section up to the empty line that ends
+// it, and appends them to b.
+func (c *Conn) appendFields(b []byte) ([]byte, error) {
+	for {
+		start := len(b)
+		var err error
+		if b, err = appendLine(b, c.reader); err != nil {
+			return nil, endedWithin(err)
+		}
+		line := trimLineEnd(b[start:])
+		if len(line) == 0 {
+			return b, nil
+		}
+		if err := checkFieldLine(line); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// checkFieldLine checks the line of a field. A line that begins with white space continues
+// the field before it, which RFC 9112 5.2 allows a gateway to reject: a field that frames the
+// body could hide there.
+func checkFieldLine(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok:
+		return errors.Wrapf(ErrMalformed, "no field: %.80q", line)
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return errors.Wrapf(ErrMalformed, "no name of a field: %.80q", name)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return errors.Wrapf(ErrMalformed, "control character in the value of field %.80s", name)
+	}
+	return nil
+}
+
+// appendLine reads a line and appends it to b, its end included.
+func appendLine(b []byte, r *bufio.Reader) ([]byte, error) {
+	start := len(b)
+	for {
+		part, err := r.ReadSlice('\n')
+		b = append(b, part...)
+		switch {
+		case err == nil:
+			return b, nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case len(b) > start:
+			return nil, endedWithin(err)
+		default:
+			return nil, err
+		}
+	}
+}
+
+// endedWithin returns the error of a message that ended within one of its parts.
+func endedWithin(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// trimLineEnd returns the line without the CRLF, or the LF alone, that ends it.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// readBody reads the body of a response whose head has been read.
+func (c *Conn) readBody(hr *http.Response, maxBytes int64, memory *reservation) ([]byte, error) {
+	switch {
+	case hr.Body == http.NoBody:
+		return nil, nil
+	case len(hr.TransferEncoding) > 0:
+		b, err := readAll(httputil.NewChunkedReader(c.reader), -1, maxBytes, memory)
+		if err != nil {
+			return nil, err
+		}
+		return b, c.readTrailer()
+	case hr.ContentLength >= 0:
+		b, err := readAll(io.LimitReader(c.reader, hr.ContentLength), hr.ContentLength, maxBytes, memory)
+		if err == nil && int64(len(b)) < hr.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		return b, err
+	}
+	return readAll(c.reader, -1, maxBytes, memory)
+}
+
+// readTrailer reads the trailer section of a chunked body, whose fields are not passed on.
+func (c *Conn) readTrailer() error {
+	c.input.remaining = maxResponseHeadBytes
+	_, err := c.appendFields(nil)
+	return err
+}
--- /dev/null
+++ b/connection/http1/malformed_test.go
@@ -0,0 +1,125 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// serveOnce accepts a connection, reads the head of a request, sends the response and keeps the
+// connection open. The returned channel is closed when the peer has closed it.
+func serveOnce(t *testing.T, response string) (address string, closedByPeer <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	closed := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := conn.Read(make([]byte, 4096)); err != nil {
+			return
+		}
+		io.WriteString(conn, response)
+		io.Copy(io.Discard, conn)
+		close(closed)
+	}()
+	return l.Addr().String(), closed
+}
+
+// Guards against an answer of a peer in trouble that is taken for a response, in each place where
+// a response is read. The request may have been run, and nothing more may be read from the
+// connection. The peer keeps it open, so that the answer cannot be taken for a truncated one.
+func TestMalformedResponses(t *testing.T) {
+	const (
+		ok   = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\n"
+		end  = "Content-Length: 5\r\n\r\nhello"
+		tail = "5\r\nhello\r\n0\r\n"
+	)
+	tests := []struct{ name, response string }{
+		{"blank in a name", ok + "X A: v\r\n" + end},
+		{"blank after a name", ok + "X-A : v\r\n" + end},
+		{"tab after a name", ok + "X-A\t: v\r\n" + end},
+		{"control byte in a name", ok + "X\x01A: v\r\n" + end},
+		{"delimiter in a name", ok + "X(A): v\r\n" + end},
+		{"byte above ASCII in a name", ok + "X\xe9A: v\r\n" + end},
+		{"empty name", ok + ": v\r\n" + end},
+		{"no colon", ok + "garbage\r\n" + end},
+		{"blank after the name of the length", ok + "Content-Length : 5\r\n\r\nhello"},
+		{"blank in the name of the length", ok + "Content Length: 5\r\n\r\nhello"},
+		{"blank after the name of the transfer encoding", ok + "Transfer-Encoding : chunked\r\n\r\n" + tail + "\r\n"},
+		{"folded line", ok + "X-A: v\r\n w\r\n" + end},
+		{"length in a folded line", ok + "X-A: v\r\n\tContent-Length: 5\r\n\r\nhello"},
+		{"folded line before the first field", "HTTP/1.1 200 OK\r\n Test-Id: 1\r\n" + end},
+		{"line of blanks", ok + " \r\n" + end},
+		{"NUL in a value", ok + "X-A: v\x00w\r\n" + end},
+		{"bare CR in a value", ok + "X-A: v\rw\r\n" + end},
+		{"control byte in a value", ok + "X-A: v\x01w\r\n" + end},
+		{"interim response", "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n" + ok + end},
+		{"trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X A: v\r\n\r\n"},
+		{"folded line in a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X-A: v\r\n w\r\n\r\n"},
+	}
+	places := []struct {
+		suffix, before string
+		expectContinue bool
+	}{
+		{"", "", false},
+		{", instead of a 100 response", "", true},
+		{", after a 100 response", "HTTP/1.1 100 Continue\r\n\r\n", true},
+	}
+	for _, place := range places {
+		for _, test := range tests {
+			t.Run(test.name+place.suffix, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				err := exchangeOnce(t, place.before+test.response, place.expectContinue)
+				is.True(errors.Is(err, ErrMalformed))
+				is.True(!errors.Is(err, ErrNotSent))
+			})
+		}
+	}
+	t.Run("100 response", func(t *testing.T) {
+		is := is.New(t)
+		err := exchangeOnce(t, "HTTP/1.1 100 Continue\r\nX A: v\r\n\r\n"+ok+end, true)
+		is.True(errors.Is(err, ErrMalformed))
+	})
+}
+
+// exchangeOnce sends a request to a peer that responds as given and returns the error. It fails
+// the test unless the connection is closed.
+func exchangeOnce(t *testing.T, response string, expectContinue bool) error {
+	t.Helper()
+	address, closedByPeer := serveOnce(t, response)
+	pool, closePool := NewPool(address, time.Second)
+	defer closePool()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Get(ctx, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := conn.Do(ctx, Request{
+		Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("body"), ID: "1", RequireID: true, ExpectContinue: expectContinue,
+	}, idOf, nil)
+	pool.Put(conn)
+	if err == nil {
+		t.Fatalf("status %d, header %q, body %q", res.Status, res.Header, res.Body)
+	}
+	select {
+	case <-closedByPeer:
+	case <-time.After(time.Second):
+		t.Error("the connection stays open")
+	}
+	return err
+}
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -352,11 +352,11 @@
 }
 
 // classifyFailure returns the problem of a request that got no complete
-// response from its gate. Once the slot is granted, the target may have run the
-// request, so that the outcome is unknown.
+// response from its gate. Once the slot is granted, or if the peer does not respond
+// as a gate does, the request may have been run, so that the outcome is unknown.
 func (e *Entry) classifyFailure(ctx context.Context, to *candidate, granted bool, err error) *outcome.Problem {
 	cause := context.Cause(ctx)
-	granted = granted && !errors.Is(err, http1.ErrNotSent)
+	granted = granted && !errors.Is(err, http1.ErrNotSent) || errors.Is(err, http1.ErrMalformed)
 	switch {
 	case errors.Is(cause, http1.ErrCallerDisconnected):
 		if granted {
--- a/process/gate/serve.go
+++ b/process/gate/serve.go
@@ -189,7 +189,7 @@
 	}, g.options.Headers.ResponseRequestID, nil)
 	if err != nil {
 		res, p := classifyError(ctx, err)
-		if ctx.Err() == nil && (p.Code == outcome.CodeTargetFailed || p.Code == outcome.CodeResponseTruncated) {
+		if ctx.Err() == nil && mayHaveCrashed(p.Code) {
 			g.suspectCrash(gr, request, http1.IsClosedByPeer(err))
 		}
 		return nil, res, p
@@ -204,6 +204,15 @@
 	return g.classifyResponse(resp, signals)
 }
 
+// mayHaveCrashed reports whether a target that failed a request with the code may have ended.
+func mayHaveCrashed(c outcome.Code) bool {
+	switch c {
+	case outcome.CodeTargetFailed, outcome.CodeResponseTruncated, outcome.CodeResponseMalformed:
+		return true
+	}
+	return false
+}
+
 // classifyError returns the result and the problem of a request that got no
 // complete response.
 func classifyError(ctx context.Context, err error) (result, *outcome.Problem) {
@@ -214,6 +223,8 @@
 		return resultLost, outcome.Failed(outcome.CodeTimeout, "the target did not answer in time")
 	case ctx.Err() != nil:
 		return resultInconclusive, outcome.Failed(outcome.CodeCallerDisconnected, "the caller left")
+	case errors.Is(err, http1.ErrMalformed):
+		return resultLost, outcome.Failed(outcome.CodeResponseMalformed, "%v", err)
 	case errors.Is(err, http1.ErrMismatchedResponse):
 		return resultLost, outcome.Failed(outcome.CodeResponseMismatched, "%v", err)
 	case errors.Is(err, http1.ErrBodyMemory):
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -92,6 +92,8 @@
 	CodeTargetFailed Code = "target_failed"
 	// CodeResponseTruncated means that the response started but did not complete.
 	CodeResponseTruncated Code = "answer_cut_short"
+	// CodeResponseMalformed means that the target's answer is no HTTP response.
+	CodeResponseMalformed Code = "answer_malformed"
 	// CodeResponseMismatched means that the response belongs to another request.
 	CodeResponseMismatched Code = "answer_foreign"
 	// CodeResponseUnsigned means that a successful response lacks the target's
@@ -173,7 +175,7 @@
 		return http.StatusRequestEntityTooLarge
 	case CodeTimeout:
 		return http.StatusGatewayTimeout
-	case CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeRefusalUnconfirmed, CodeGateConnectionLost:
+	case CodeTargetFailed, CodeResponseTruncated, CodeResponseMalformed, CodeResponseMismatched, CodeResponseUnsigned, CodeRefusalUnconfirmed, CodeGateConnectionLost:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
--- a/request/outcome/outcome_test.go
+++ b/request/outcome/outcome_test.go
@@ -11,7 +11,7 @@
 var codes = []Code{
 	CodeUnauthorized, CodeOverQuota, CodeNoRoute, CodeBadRequest, CodeBodyTooLarge, CodeNotReady, CodeNoTarget, CodeDraining, CodeTargetSuspected, CodeTargetFull,
 	CodeDeadlineExceeded, CodeRetryBudget, CodeShed, CodeMisdirected, CodeUnreachable, CodeCallerDisconnected,
-	CodeTimeout, CodeTargetFailed, CodeResponseTruncated, CodeResponseMismatched, CodeResponseUnsigned, CodeRefusalUnconfirmed, CodeGateConnectionLost,
+	CodeTimeout, CodeTargetFailed, CodeResponseTruncated, CodeResponseMalformed, CodeResponseMismatched, CodeResponseUnsigned, CodeRefusalUnconfirmed, CodeGateConnectionLost,
 }
 
 // A failure with the code of a refusal could get a status that guarantees that
