http1: a status outside 100 to 599 makes an answer malformed

Callers got answers whose status was 999, 600 or signed as the target's own. An answer with status 000 was counted as a success of its target; the entry could not read what the gate made of it, and the caller got 502.

Cause: http.ReadResponse takes any three characters that strconv.Atoi takes, and ignores blanks before them and control bytes after them. A gate classifies whatever lies below 300 and is signed as a success.

Change: the status line is matched as a whole (RFC 9112 4, RFC 9110 15) before the rest of the head is read. 101 is malformed as well, since the package requests no other protocol: what follows it is no HTTP, but was read as the next response.

--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -121,10 +122,10 @@
 // awaitContinue waits for a 100 response. Any other response is the final one,
 // with which the peer refuses the request.
 func (c *Conn) awaitContinue(ctx context.Context, r Request, responseID IDFunc) (final *Response, reusable bool, err error) {
-	statusLine, err := c.reader.Peek(12)
+	start, err := c.reader.Peek(len("HTTP/1.1 100"))
 	switch {
 	case err != nil:
-	case string(statusLine[9:12]) == "100":
+	case bytes.HasSuffix(start, []byte("100")):
 		_, err = c.readHead(r.Method)
 	default:
 		final, reusable, err = c.readResponse(ctx, r, responseID)
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"regexp"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -15,6 +16,10 @@
 // headReaders holds the buffers of heads that are being parsed.
 var headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 
+// statusLine matches a status line as of RFC 9112 4, whose status RFC 9110 15 limits to 100 to
+// 599. The reason and the blank before it may be missing.
+var statusLine = regexp.MustCompile(`^HTTP/[0-9]\.[0-9] [1-5][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+
 // initialHeadBytes is the initial size of the buffer of a head.
 const initialHeadBytes = 512
 
@@ -27,6 +32,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if line := trimLineEnd(head); !statusLine.Match(line) {
+		return nil, errors.Wrapf(ErrMalformed, "no status line: %.80q", line)
+	}
 	head, err = c.appendFields(head)
 	if err != nil {
 		return nil, err
@@ -38,6 +46,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
+	if hr.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.Wrap(ErrMalformed, "the peer switches to a protocol that was not requested")
+	}
 	return hr, nil
 }
 
--- a/process/gate/broken_answer_test.go
+++ b/process/gate/broken_answer_test.go
@@ -64,6 +64,8 @@
 		{"blank in the name of a field", "HTTP/1.1 200 OK\r\nX A: v\r\n" + end, 0, false, 1, outcome.CodeResponseMalformed},
 		{"control byte in the name of a field", "HTTP/1.1 200 OK\r\nX\x01A: v\r\n" + end, 0, false, 1, outcome.CodeResponseMalformed},
 		{"blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello", 0, false, 1, outcome.CodeResponseMalformed},
+		{"status 000", "HTTP/1.1 000 OK\r\n" + end, 0, false, 1, outcome.CodeResponseMalformed},
+		{"status 999", "HTTP/1.1 999 OK\r\n" + end, 0, false, 1, outcome.CodeResponseMalformed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
