http1: a head that frames the body in two ways makes an answer malformed

Callers got the raw chunks, sizes and CRLFs included, as the body of an HTTP/1.0 answer with Transfer-Encoding: chunked. An answer with both Transfer-Encoding and Content-Length was passed on, decoded from the chunks, and so were answers of HTTP/2.0, 0.9 and 3.7, whose framing is not that of HTTP/1.1.

Cause: http.ReadResponse drops Transfer-Encoding in HTTP/1.0 and Content-Length beside it in HTTP/1.1, and takes any version.

Change: the status line must be one of HTTP/1, and a Transfer-Encoding must be in HTTP/1.1 and alone (RFC 9112 6.1). HTTP/1.0 without it is read as before. Two lengths, a signed one and unknown or repeated encodings failed already; they keep their cases.

TestMalformedResponses before the change, of the 10 cases added: the three versions and both orders of length and encoding were passed on in each of the three places, and the HTTP/1.0 one waited for the end of the connection. All are malformed with the change.

--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -16,9 +16,9 @@
 // headReaders holds the buffers of heads that are being parsed.
 var headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 
-// statusLine matches a status line as of RFC 9112 4, whose status RFC 9110 15 limits to 100 to
-// 599. The reason and the blank before it may be missing.
-var statusLine = regexp.MustCompile(`^HTTP/[0-9]\.[0-9] [1-5][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+// statusLine matches a status line of HTTP/1 as of RFC 9112 4, whose status RFC 9110 15 limits
+// to 100 to 599. The reason and the blank before it may be missing.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // initialHeadBytes is the initial size of the buffer of a head.
 const initialHeadBytes = 512
@@ -49,7 +49,33 @@
 	if hr.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errors.Wrap(ErrMalformed, "the peer switches to a protocol that was not requested")
 	}
-	return hr, nil
+	return hr, checkFraming(hr, head)
+}
+
+// checkFraming checks that the head frames the body in one way only, as RFC 9112 6.1 requires:
+// a peer and a recipient that choose different ones do not agree on where the body ends.
+func checkFraming(hr *http.Response, head []byte) error {
+	switch {
+	case !hasField(head, "Transfer-Encoding"):
+		return nil
+	case !hr.ProtoAtLeast(1, 1):
+		return errors.Wrap(ErrMalformed, "Transfer-Encoding in HTTP/1.0")
+	case hasField(head, "Content-Length"):
+		return errors.Wrap(ErrMalformed, "both Transfer-Encoding and Content-Length")
+	}
+	return nil
+}
+
+// hasField reports whether the lines of a head contain a field. http.ReadResponse removes the
+// fields that it does not use.
+func hasField(head []byte, name string) bool {
+	for line := range bytes.Lines(head) {
+		n, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(n, []byte(name)) {
+			return true
+		}
+	}
+	return false
 }
 
 // appendFields reads the lines of a header or a trailer section up to the empty line that ends
--- a/connection/http1/malformed_test.go
+++ b/connection/http1/malformed_test.go
@@ -81,6 +81,16 @@
 		{"control byte after the status", "HTTP/1.1 200 O\x00K\r\nTest-Id: 1\r\n" + end},
 		{"status 000 of an interim response", "HTTP/1.1 000 Early\r\n\r\n" + ok + end},
 		{"another protocol, which nobody requested", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + ok + end},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nTest-Id: 1\r\n" + end},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\nTest-Id: 1\r\n" + end},
+		{"HTTP/3.7", "HTTP/3.7 200 OK\r\nTest-Id: 1\r\n" + end},
+		{"HTTP/1.0 with a transfer encoding", "HTTP/1.0 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + tail + "\r\n"},
+		{"length before a transfer encoding", ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + tail + "\r\n"},
+		{"length after a transfer encoding", ok + "transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n" + tail + "\r\n"},
+		{"two lengths", ok + "Content-Length: 4\r\n" + end},
+		{"signed length", ok + "Content-Length: +5\r\n\r\nhello"},
+		{"unknown transfer encoding", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + tail + "\r\n"},
+		{"transfer encoding twice", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + tail + "\r\n"},
 		{"folded line in a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X-A: v\r\n w\r\n\r\n"},
 	}
 	places := []struct {
