platform: a success whose body is encoded is not the target's

Callers got a 2xx with a Content-Encoding as the target's own answer, though they request bodies without an encoding and cannot read it.

Cause: the proof of a response was its signature alone.

A success without proof was refused already: 502, outcome unknown, lost at its target (answer_unsigned), and its limits and leaves are not believed.

--- a/request/metadata/metadata.go
+++ b/request/metadata/metadata.go
@@ -31,7 +31,8 @@
 
 // TargetResponse is the metadata of a response from a target.
 type TargetResponse struct {
-	// Signed means that the response carries the target's proof of origin.
+	// Signed means that the response carries the target's proof of origin, and its body as
+	// the target wrote it.
 	Signed bool
 	// NotRun means that the target did not run the request.
 	NotRun bool
