http1: a body that may not end gives way to other bodies

Callers lost sound answers of one target, after their requests had run, while another target sent bodies without end: both use the memory for bodies, which bounded all of them together, but gave it to whoever grew first. The process itself was never in danger: heads, framing, interim responses, each body and all bodies together are bounded (TestEndlessResponses).

Change: a response body without a length is bounded by what others need. Bodies with a length are bounded by it and never give way. As before, ErrBodyMemory shows nothing about the peer.

--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -14,13 +15,22 @@
 
 // BodyBudget limits the memory of all request and response bodies that a process
 // holds at one time. A nil *BodyBudget sets no limit.
+//
+// A response body whose length was not announced may have no end. While it is being read, it
+// gives way to bodies with a length and to shorter ones.
 type BodyBudget struct {
 	limit int64
 	used  atomic.Int64
+
+	mu sync.Mutex
+	// preemptible holds the bodies that may have to give way, and what ends their reading.
+	preemptible map[*reservation]func()
 }
 
 // NewBodyBudget returns a budget of the given number of bytes.
-func NewBodyBudget(limit int64) *BodyBudget { return &BodyBudget{limit: limit} }
+func NewBodyBudget(limit int64) *BodyBudget {
+	return &BodyBudget{limit: limit, preemptible: map[*reservation]func(){}}
+}
 
 // Used returns the number of bytes in use.
 func (b *BodyBudget) Used() int64 { return b.used.Load() }
@@ -39,23 +49,76 @@
 	return min(maxResponseBytes, int64(maxBodyShare*float64(b.limit)))
 }
 
+// take adds n bytes to those in use, if they fit.
+func (b *BodyBudget) take(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// takeFromLongest takes n bytes for a body from the longest one that has to give way to it, if
+// that makes room for all of them.
+func (b *BodyBudget) takeFromLongest(n int64, to *reservation) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var longest *reservation
+	for r := range b.preemptible {
+		if longest == nil || r.bytes.Load() > longest.bytes.Load() {
+			longest = r
+		}
+	}
+	if longest == nil || longest == to || longest.bytes.Load() < n || !to.hasLength && longest.bytes.Load() <= to.bytes.Load()+n {
+		return false
+	}
+	stop := b.preemptible[longest]
+	delete(b.preemptible, longest)
+	// The bytes are not free in between, so that no other body gets them.
+	b.used.Add(n)
+	longest.release()
+	stop()
+	return true
+}
+
 // reservation is the part of a budget that one body uses. It may be released while
 // the body is still being read, which then fails.
 type reservation struct {
-	budget   *BodyBudget
-	bytes    atomic.Int64
-	released atomic.Bool
+	budget *BodyBudget
+	// hasLength means that the length of the body was announced.
+	hasLength bool
+	bytes     atomic.Int64
+	released  atomic.Bool
+}
+
+func (b *BodyBudget) newReservation(hasLength bool) *reservation {
+	return &reservation{budget: b, hasLength: hasLength}
 }
 
-func (b *BodyBudget) newReservation() *reservation { return &reservation{budget: b} }
+// makePreemptible lets the body give way to others until the returned function is called, which
+// reports whether it had to. Its reservation is then released and stop called.
+func (r *reservation) makePreemptible(stop func()) (end func() (hasGivenWay bool)) {
+	if r.budget == nil {
+		return func() bool { return false }
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.budget.preemptible[r] = stop
+	return func() bool {
+		r.budget.mu.Lock()
+		defer r.budget.mu.Unlock()
+		_, isLeft := r.budget.preemptible[r]
+		delete(r.budget.preemptible, r)
+		return !isLeft
+	}
+}
 
 // grow adds n bytes to the reservation, or fails with ErrBodyMemory.
 func (r *reservation) grow(n int64) error {
 	if r.budget == nil {
 		return nil
 	}
-	if r.budget.used.Add(n) > r.budget.limit {
-		r.budget.used.Add(-n)
+	if !r.budget.take(n) && !r.budget.takeFromLongest(n, r) {
 		return ErrBodyMemory
 	}
 	r.bytes.Add(n)
--- a/connection/http1/doc.go
+++ b/connection/http1/doc.go
@@ -24,5 +24,7 @@
 //
 // Everything that a peer sends is bounded: heads, bodies and framing in bytes, what
 // precedes a response in number. Messages are held in memory as a whole; a BodyBudget
-// bounds the bodies of a process together.
+// bounds the bodies of a process together, and those that may not end give way to others.
+// The heads of responses and their trailers are checked before anything in them is used:
+// ErrMalformed is the error of a peer that does not send HTTP.
 package http1
--- a/connection/http1/endless_test.go
+++ b/connection/http1/endless_test.go
@@ -137,7 +137,7 @@
 	const limit = 1 << 20
 	b := NewBodyBudget(limit)
 	read := func(n int) (*reservation, error) {
-		r := b.newReservation()
+		r := b.newReservation(false)
 		_, err := readAll(bytes.NewReader(make([]byte, n)), -1, b.maxBytes(), r)
 		if err != nil {
 			r.release()
--- a/connection/http1/exchange.go
+++ b/connection/http1/exchange.go
@@ -163,7 +163,7 @@
 		beganAt := time.Now()
 		maxBytes := c.bodies.maxBytes()
 		c.input.remaining = int((1+framingShare)*maxBytes) + maxResponseHeadBytes
-		memory := c.bodies.newReservation()
+		memory := c.bodies.newReservation(hr.ContentLength >= 0)
 		body, err := c.readBody(hr, maxBytes, memory)
 		c.input.remaining = unlimited
 		if err != nil {
--- a/connection/http1/server_conn.go
+++ b/connection/http1/server_conn.go
@@ -155,7 +155,7 @@
 			return err
 		}
 		limited.remaining = unlimited
-		p := &pendingRequest{method: hr.Method, closeAfter: hr.Close, response: make(chan *Response, 1), memory: limits.Bodies.newReservation()}
+		p := &pendingRequest{method: hr.Method, closeAfter: hr.Close, response: make(chan *Response, 1), memory: limits.Bodies.newReservation(hr.ContentLength >= 0)}
 		p.awaitsContinue = limits.ReadBodiesFirst && expectsContinue(hr) && br.Buffered() == 0 && hr.ContentLength <= limits.MaxBodyBytes
 		if !c.beginRequest() {
 			if c.inFlightCount() == 0 {
