--- a/connection/http1/malformed_test.go
+++ b/connection/http1/malformed_test.go
@@ -12,32 +12,6 @@
 	"github.com/matryer/is"
 )
 
-// serveOnce accepts a connection, reads the head of a request, sends the response and keeps the
-// connection open. The returned channel is closed when the peer has closed it.
-func serveOnce(t *testing.T, response string) (address string, closedByPeer <-chan struct{}) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	closed := make(chan struct{})
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := conn.Read(make([]byte, 4096)); err != nil {
-			return
-		}
-		io.WriteString(conn, response)
-		io.Copy(io.Discard, conn)
-		close(closed)
-	}()
-	return l.Addr().String(), closed
-}
-
 // Guards against an answer of a peer in trouble that is taken for a response, in each place where
 // a response is read. The request may have been run, and nothing more may be read from the
 // connection. The peer keeps it open, so that the answer cannot be taken for a truncated one.
@@ -123,7 +97,12 @@
 // the test unless the connection is closed.
 func exchangeOnce(t *testing.T, response string, expectContinue bool) error {
 	t.Helper()
-	address, closedByPeer := serveOnce(t, response)
+	closedByClient := make(chan struct{})
+	address := servePeer(t, func(conn *net.TCPConn) {
+		io.WriteString(conn, response)
+		io.Copy(io.Discard, conn)
+		close(closedByClient)
+	})
 	pool, closePool := NewPool(address, time.Second)
 	defer closePool()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -140,7 +119,7 @@
 		t.Fatalf("status %d, header %q, body %q", res.Status, res.Header, res.Body)
 	}
 	select {
-	case <-closedByPeer:
+	case <-closedByClient:
 	case <-time.After(time.Second):
 		t.Error("the connection stays open")
 	}
--- a/connection/http1/memory_test.go
+++ b/connection/http1/memory_test.go
@@ -15,36 +15,6 @@
 	"github.com/matryer/is"
 )
 
-// serveEndlessBody accepts connections and sends a response whose body does not end on each, in
-// blocks with a pause after each.
-func serveEndlessBody(t *testing.T, head string, block []byte, pause time.Duration) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				conn.Read(make([]byte, 4096))
-				_, err := io.WriteString(conn, head)
-				for err == nil {
-					time.Sleep(pause)
-					conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against responses of a sound peer that are lost, after their requests have run, because
 // another peer's responses without end have used up the memory for bodies.
 func TestSoundResponsesBesideEndlessOnes(t *testing.T) {
@@ -78,7 +48,14 @@
 			defer cancel()
 			var callers sync.WaitGroup
 			defer callers.Wait()
-			endlessPeer := serveEndlessBody(t, test.head, test.block, test.pause)
+			endlessPeer := servePeer(t, func(conn *net.TCPConn) {
+				_, err := io.WriteString(conn, test.head)
+				for err == nil {
+					time.Sleep(test.pause)
+					conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+					_, err = conn.Write(test.block)
+				}
+			})
 			for range endless {
 				callers.Go(func() {
 					for ctx.Err() == nil {
@@ -89,7 +66,7 @@
 				})
 			}
 			for name, response := range sound {
-				peer := serveEarly(t, response, func(conn *net.TCPConn) { conn.CloseWrite() })
+				peer := servePeer(t, func(conn *net.TCPConn) { io.WriteString(conn, response) })
 				callers.Go(func() {
 					n, lost := 0, 0
 					for ; ctx.Err() == nil; n++ {
--- a/connection/http1/reset_test.go
+++ b/connection/http1/reset_test.go
@@ -13,34 +13,6 @@
 	"github.com/matryer/is"
 )
 
-// serveEarly accepts connections, reads the first bytes of a request on each, writes the
-// response while the rest of the request is still being sent, and calls end.
-func serveEarly(t *testing.T, response string, end func(*net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			go func() {
-				if _, err := conn.Read(make([]byte, 4096)); err != nil {
-					return
-				}
-				io.WriteString(conn, response)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // upload sends a request with a body of n bytes on a new connection.
 func upload(t *testing.T, address string, n int, expectContinue bool) (*Response, error) {
 	t.Helper()
@@ -85,11 +57,11 @@
 			if test.expectContinue {
 				start = "HTTP/1.1 100 Continue\r\n\r\n"
 			}
-			address := serveEarly(t, start+response, func(conn *net.TCPConn) {
-				// The peer reads the bytes before the reset arrives.
+			address := servePeer(t, func(conn *net.TCPConn) {
+				io.WriteString(conn, start+response)
+				// The client reads the bytes before the reset arrives.
 				time.Sleep(20 * time.Millisecond)
 				conn.SetLinger(0)
-				conn.Close()
 			})
 			passedOn := 0
 			for range attempts {
@@ -111,7 +83,11 @@
 func TestEarlyResponseThatEndsWithItsConnection(t *testing.T) {
 	is := is.New(t)
 	body := bytes.Repeat([]byte("b"), 100<<10)
-	address := serveEarly(t, "HTTP/1.1 200 OK\r\n\r\n"+string(body), func(conn *net.TCPConn) { conn.CloseWrite() })
+	address := servePeer(t, func(conn *net.TCPConn) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+string(body))
+		conn.CloseWrite()
+		<-t.Context().Done()
+	})
 	startedAt := time.Now()
 	res, err := upload(t, address, 32<<20, false)
 	is.NoErr(err)
