--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"sync"
 	"sync/atomic"
 
@@ -137,6 +138,46 @@
 	}
 }
 
+// readBody reads the body of a response whose head has been read. It fails with ErrBodyMemory
+// if the body has to give way to another one.
+func (c *Conn) readBody(hr *http.Response, maxBytes int64, memory *reservation) ([]byte, error) {
+	if hr.Body == http.NoBody {
+		return nil, nil
+	}
+	if hr.ContentLength >= 0 {
+		b, err := readAll(io.LimitReader(c.reader, hr.ContentLength), hr.ContentLength, maxBytes, memory)
+		if err == nil && int64(len(b)) < hr.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		return b, err
+	}
+	end := memory.makePreemptible(func() { c.conn.Close() })
+	b, err := c.readBodyWithoutLength(hr, maxBytes, memory)
+	if end() {
+		return nil, ErrBodyMemory
+	}
+	return b, err
+}
+
+// readBodyWithoutLength reads a body that is sent in chunks or ends with the connection.
+func (c *Conn) readBodyWithoutLength(hr *http.Response, maxBytes int64, memory *reservation) ([]byte, error) {
+	if len(hr.TransferEncoding) == 0 {
+		return readAll(c.reader, -1, maxBytes, memory)
+	}
+	b, err := readAll(httputil.NewChunkedReader(c.reader), -1, maxBytes, memory)
+	if err != nil {
+		return nil, err
+	}
+	return b, c.readTrailer()
+}
+
+// readTrailer reads the trailer section of a chunked body, whose fields are not passed on.
+func (c *Conn) readTrailer() error {
+	c.input.remaining = maxResponseHeadBytes
+	_, err := c.appendFields(nil)
+	return err
+}
+
 // minBodyBuffer is the initial size of the buffer of a body of unknown length.
 const minBodyBuffer = 512
 
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"regexp"
 	"sync"
 
@@ -24,8 +23,8 @@
 const initialHeadBytes = 512
 
 // readHead reads and parses the head of a response to the method. It fails with
-// ErrMalformed if the head violates RFC 9112 or RFC 9110, where package net/http passes on
-// some of what a peer in trouble sends. The body is left to be read by readBody.
+// ErrMalformed if the head violates RFC 9112 or RFC 9110; net/http alone accepts some that do.
+// The body is left to readBody.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.input.remaining = maxResponseHeadBytes
 	head, err := appendLine(make([]byte, 0, initialHeadBytes), c.reader)
@@ -143,43 +142,3 @@
 func trimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
-
-// readBody reads the body of a response whose head has been read. It fails with ErrBodyMemory
-// if the body has to give way to another one.
-func (c *Conn) readBody(hr *http.Response, maxBytes int64, memory *reservation) ([]byte, error) {
-	if hr.Body == http.NoBody {
-		return nil, nil
-	}
-	if hr.ContentLength >= 0 {
-		b, err := readAll(io.LimitReader(c.reader, hr.ContentLength), hr.ContentLength, maxBytes, memory)
-		if err == nil && int64(len(b)) < hr.ContentLength {
-			err = io.ErrUnexpectedEOF
-		}
-		return b, err
-	}
-	end := memory.makePreemptible(func() { c.conn.Close() })
-	b, err := c.readBodyWithoutLength(hr, maxBytes, memory)
-	if end() {
-		return nil, ErrBodyMemory
-	}
-	return b, err
-}
-
-// readBodyWithoutLength reads a body that is sent in chunks or ends with the connection.
-func (c *Conn) readBodyWithoutLength(hr *http.Response, maxBytes int64, memory *reservation) ([]byte, error) {
-	if len(hr.TransferEncoding) == 0 {
-		return readAll(c.reader, -1, maxBytes, memory)
-	}
-	b, err := readAll(httputil.NewChunkedReader(c.reader), -1, maxBytes, memory)
-	if err != nil {
-		return nil, err
-	}
-	return b, c.readTrailer()
-}
-
-// readTrailer reads the trailer section of a chunked body, whose fields are not passed on.
-func (c *Conn) readTrailer() error {
-	c.input.remaining = maxResponseHeadBytes
-	_, err := c.appendFields(nil)
-	return err
-}
--- a/connection/http1/malformed_test.go
+++ b/connection/http1/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,48 @@
 	}
 	return err
 }
+
+// The checks of heads must not reject responses that are unusual and valid.
+func TestUnusualResponsesAreRead(t *testing.T) {
+	const end = "Content-Length: 5\r\n\r\nhello"
+	tests := []struct{ name, response string }{
+		{"no reason", "HTTP/1.1 200 \r\nTest-Id: 1\r\n" + end},
+		{"no blank before the reason", "HTTP/1.1 200\r\nTest-Id: 1\r\n" + end},
+		{"reason beyond ASCII, with a tab and a colon", "HTTP/1.1 200 d\xe9j\xc3\xa0:\tvu\r\nTest-Id: 1\r\n" + end},
+		{"status without a name", "HTTP/1.1 299 x\r\nTest-Id: 1\r\n" + end},
+		{"HTTP/1.0 with a length", "HTTP/1.0 200 OK\r\nTest-Id: 1\r\n" + end},
+		{"lines that end with LF alone", "HTTP/1.1 200 OK\nTest-Id: 1\nContent-Length: 5\n\nhello"},
+		{"small letters, no blank before the value", "HTTP/1.1 200 OK\r\ntest-id:1\r\ncontent-length:5\r\n\r\nhello"},
+		{"empty value", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nX-A:\r\n" + end},
+		{"value beyond ASCII, with a tab", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nX-A: \xe9\tw \t\r\n" + end},
+		{"token of all characters", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\n!#$%&'*+-.^_`|~09azAZ: v\r\n" + end},
+		{"equal lengths", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 5\r\n" + end},
+		{"line beyond the buffer", "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("v", 3*bufferSize) + "\r\nTest-Id: 1\r\n" + end},
+		{"interim responses", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nTest-Id: 1\r\n" + end},
+		{"chunks with an extension, and a trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nhe\r\n3\r\nllo\r\n0\r\nX-A: v\r\n\r\n"},
+	}
+	for _, test := range tests {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\nX-A: v\r\n\r\n"} {
+			t.Run(test.name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				address := servePeer(t, func(conn *net.TCPConn) {
+					io.WriteString(conn, before+test.response)
+					io.Copy(io.Discard, conn)
+				})
+				pool, closePool := NewPool(address, time.Second)
+				defer closePool()
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				conn, err := pool.Get(ctx, 0)
+				is.NoErr(err)
+				defer pool.Put(conn)
+				res, err := conn.Do(ctx, Request{
+					Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("body"), ID: "1", RequireID: true, ExpectContinue: before != "",
+				}, idOf, nil)
+				is.NoErr(err)
+				is.Equal(string(res.Body), "hello")
+			})
+		}
+	}
+}
