--- a/process/node/broken_answer_test.go
+++ b/process/node/broken_answer_test.go
@@ -48,7 +48,7 @@
 // A caller must get no answer that its target has broken off or that is no HTTP, through the
 // whole path, and no promise that its request has not run.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
-	const signed = "HTTP/1.1 200 OK\r\nCuminwheel-Server-Signature: s\r\n"
+	const signed = "HTTP/1.1 200 OK\r\n" + target.SignatureLine
 	tests := []struct {
 		name, answer string
 		upload       int
@@ -61,7 +61,7 @@
 		{"reset during an upload", signed + "\r\npart", 4 << 20, true, 5, "/read/x"},
 		{"blank in the name of a field", signed + "X A: v\r\nContent-Length: 5\r\n\r\nhello", 0, false, 1, "/claim/x"},
 		{"blank after the name of the transfer encoding", signed + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0, false, 1, "/claim/x"},
-		{"status 000", "HTTP/1.1 000 OK\r\nCuminwheel-Server-Signature: s\r\nContent-Length: 5\r\n\r\nhello", 0, false, 1, "/claim/x"},
+		{"status 000", "HTTP/1.1 000 OK\r\n" + target.SignatureLine + "Content-Length: 5\r\n\r\nhello", 0, false, 1, "/claim/x"},
 		{"encoded body", signed + "Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello", 0, false, 1, "/claim/x"},
 	}
 	for _, test := range tests {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -64,6 +64,9 @@
 	headerLeaving          = "Server-Leaving"
 )
 
+// SignatureLine is the line of a head that proves that a target has written the response.
+const SignatureLine = headerSignature + ": s\r\n"
+
 // CrashPath is the end of the path of the requests that crash the stand-in.
 const CrashPath = "/crash"
 
