http1, entry, gate: simpler reading of lines; one raw peer for all tests

No change of behaviour, no check loosened. A cut line needs no error of its own, since both ends of the input are treated alike. In classifyFailure the variable that was called granted says what it has come to mean: whether the request may have been run.

standin/rawpeer replaces seven listeners that tests had written each for itself, and the tests share one exchange and one upload.

--- a/connection/http1/cut_test.go
+++ b/connection/http1/cut_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,28 +14,14 @@
 // connection, in an orderly way or with a reset.
 func serveCut(t *testing.T, responses <-chan string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conn.Read(make([]byte, 4096))
-			conn.Write([]byte(<-responses))
-			if reset {
-				// The peer reads the bytes before the reset arrives.
-				time.Sleep(20 * time.Millisecond)
-				conn.(*net.TCPConn).SetLinger(0)
-			}
-			conn.Close()
+	return servePeer(t, func(conn *net.TCPConn) {
+		io.WriteString(conn, <-responses)
+		if reset {
+			// The peer reads the bytes before the reset arrives.
+			time.Sleep(20 * time.Millisecond)
+			conn.SetLinger(0)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a response that is passed on as complete although the target closed the
--- a/connection/http1/endless_test.go
+++ b/connection/http1/endless_test.go
@@ -19,40 +19,23 @@
 // returned channel gets the number of bytes sent on each connection.
 func serveEndless(t *testing.T, start, chunk string, maxBytes int) (address string, sent <-chan int) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	counts := make(chan int, 16)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
+	address = servePeer(t, func(conn *net.TCPConn) {
+		if _, err := io.WriteString(conn, start); err != nil {
+			return
+		}
+		block := []byte(strings.Repeat(chunk, 1+16384/len(chunk)))
+		n := 0
+		for n < maxBytes {
+			conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			k, err := conn.Write(block)
+			if n += k; err != nil {
+				break
 			}
-			go func() {
-				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 4096)); err != nil {
-					return
-				}
-				if _, err := io.WriteString(conn, start); err != nil {
-					return
-				}
-				block := []byte(strings.Repeat(chunk, 1+16384/len(chunk)))
-				n := 0
-				for n < maxBytes {
-					conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
-					k, err := conn.Write(block)
-					if n += k; err != nil {
-						break
-					}
-				}
-				counts <- n
-			}()
 		}
-	}()
-	return l.Addr().String(), counts
+		counts <- n
+	})
+	return address, counts
 }
 
 // A peer in trouble may send bytes that are no response without end, in the head, in
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net/http"
 	"regexp"
 	"sync"
@@ -84,7 +83,7 @@
 		start := len(b)
 		var err error
 		if b, err = appendLine(b, c.reader); err != nil {
-			return nil, endedWithin(err)
+			return nil, err
 		}
 		line := trimLineEnd(b[start:])
 		if len(line) == 0 {
@@ -114,30 +113,15 @@
 
 // appendLine reads a line and appends it to b, its end included.
 func appendLine(b []byte, r *bufio.Reader) ([]byte, error) {
-	start := len(b)
 	for {
 		part, err := r.ReadSlice('\n')
 		b = append(b, part...)
-		switch {
-		case err == nil:
-			return b, nil
-		case errors.Is(err, bufio.ErrBufferFull):
-		case len(b) > start:
-			return nil, endedWithin(err)
-		default:
-			return nil, err
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return b, err
 		}
 	}
 }
 
-// endedWithin returns the error of a message that ended within one of its parts.
-func endedWithin(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // trimLineEnd returns the line without the CRLF, or the LF alone, that ends it.
 func trimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
--- a/connection/http1/malformed_test.go
+++ b/connection/http1/malformed_test.go
@@ -43,6 +43,7 @@
 		{"control byte in a value", ok + "X-A: v\x01w\r\n" + end},
 		{"interim response", "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n" + ok + end},
 		{"trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X A: v\r\n\r\n"},
+		{"folded line in a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X-A: v\r\n w\r\n\r\n"},
 		{"status 000", "HTTP/1.1 000 OK\r\nTest-Id: 1\r\n" + end},
 		{"status 001", "HTTP/1.1 001 OK\r\nTest-Id: 1\r\n" + end},
 		{"status 099", "HTTP/1.1 099 OK\r\nTest-Id: 1\r\n" + end},
@@ -66,7 +67,6 @@
 		{"signed length", ok + "Content-Length: +5\r\n\r\nhello"},
 		{"unknown transfer encoding", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + tail + "\r\n"},
 		{"transfer encoding twice", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + tail + "\r\n"},
-		{"folded line in a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n" + tail + "X-A: v\r\n w\r\n\r\n"},
 	}
 	places := []struct {
 		suffix, before string
@@ -80,23 +80,36 @@
 		for _, test := range tests {
 			t.Run(test.name+place.suffix, func(t *testing.T) {
 				t.Parallel()
-				is := is.New(t)
-				err := exchangeOnce(t, place.before+test.response, place.expectContinue)
-				is.True(errors.Is(err, ErrMalformed))
-				is.True(!errors.Is(err, ErrNotSent))
+				requireMalformed(t, place.before+test.response, place.expectContinue)
 			})
 		}
 	}
 	t.Run("100 response", func(t *testing.T) {
-		is := is.New(t)
-		err := exchangeOnce(t, "HTTP/1.1 100 Continue\r\nX A: v\r\n\r\n"+ok+end, true)
-		is.True(errors.Is(err, ErrMalformed))
+		requireMalformed(t, "HTTP/1.1 100 Continue\r\nX A: v\r\n\r\n"+ok+end, true)
 	})
 }
 
-// exchangeOnce sends a request to a peer that responds as given and returns the error. It fails
-// the test unless the connection is closed.
-func exchangeOnce(t *testing.T, response string, expectContinue bool) error {
+// requireMalformed sends a request to a peer that responds as given, and requires that the
+// response is found to be malformed and the connection closed.
+func requireMalformed(t *testing.T, response string, expectContinue bool) {
+	t.Helper()
+	is := is.New(t)
+	res, closedByClient, err := exchangeOnce(t, response, expectContinue)
+	if err == nil {
+		t.Fatalf("status %d, header %q, body %q", res.Status, res.Header, res.Body)
+	}
+	is.True(errors.Is(err, ErrMalformed))
+	is.True(!errors.Is(err, ErrNotSent))
+	select {
+	case <-closedByClient:
+	case <-time.After(10 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
+
+// exchangeOnce sends a request to a peer that responds as given and keeps the connection open.
+// The channel is closed when the client has closed it.
+func exchangeOnce(t *testing.T, response string, expectContinue bool) (*Response, <-chan struct{}, error) {
 	t.Helper()
 	closedByClient := make(chan struct{})
 	address := servePeer(t, func(conn *net.TCPConn) {
@@ -104,27 +117,12 @@
 		io.Copy(io.Discard, conn)
 		close(closedByClient)
 	})
-	pool, closePool := NewPool(address, time.Second)
-	defer closePool()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	conn, err := pool.Get(ctx, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	res, err := conn.Do(ctx, Request{
+	res, err := exchange(ctx, address, nil, Request{
 		Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("body"), ID: "1", RequireID: true, ExpectContinue: expectContinue,
-	}, idOf, nil)
-	pool.Put(conn)
-	if err == nil {
-		t.Fatalf("status %d, header %q, body %q", res.Status, res.Header, res.Body)
-	}
-	select {
-	case <-closedByClient:
-	case <-ctx.Done():
-		t.Error("the connection stays open")
-	}
-	return err
+	})
+	return res, closedByClient, err
 }
 
 // The checks of heads must not reject responses that are unusual and valid.
@@ -151,20 +149,7 @@
 			t.Run(test.name, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				address := servePeer(t, func(conn *net.TCPConn) {
-					io.WriteString(conn, before+test.response)
-					io.Copy(io.Discard, conn)
-				})
-				pool, closePool := NewPool(address, time.Second)
-				defer closePool()
-				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-				defer cancel()
-				conn, err := pool.Get(ctx, 0)
-				is.NoErr(err)
-				defer pool.Put(conn)
-				res, err := conn.Do(ctx, Request{
-					Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("body"), ID: "1", RequireID: true, ExpectContinue: before != "",
-				}, idOf, nil)
+				res, _, err := exchangeOnce(t, before+test.response, before != "")
 				is.NoErr(err)
 				is.Equal(string(res.Body), "hello")
 			})
--- a/connection/http1/memory_test.go
+++ b/connection/http1/memory_test.go
@@ -23,6 +23,7 @@
 		endless  = 8
 		duration = time.Second
 	)
+	get := Request{Method: http.MethodGet, URI: "/", Host: "h"}
 	block := bytes.Repeat([]byte("b"), 64<<10)
 	chunk := []byte(fmt.Sprintf("%x\r\n%s\r\n", len(block), block))
 	tests := []struct {
@@ -59,7 +60,7 @@
 			for range endless {
 				callers.Go(func() {
 					for ctx.Err() == nil {
-						if _, err := exchange(ctx, endlessPeer, b); err == nil {
+						if _, err := exchange(ctx, endlessPeer, b, get); err == nil {
 							t.Error("a body without end has ended")
 						}
 					}
@@ -70,7 +71,7 @@
 				callers.Go(func() {
 					n, lost := 0, 0
 					for ; ctx.Err() == nil; n++ {
-						res, err := exchange(ctx, peer, b)
+						res, err := exchange(ctx, peer, b, get)
 						switch {
 						case errors.Is(err, ErrBodyMemory):
 							lost++
@@ -94,19 +95,6 @@
 	}
 }
 
-// exchange sends a request on a new connection and returns the response.
-func exchange(ctx context.Context, address string, b *BodyBudget) (*Response, error) {
-	pool, closePool := NewPool(address, time.Second)
-	defer closePool()
-	pool.SetBodyBudget(b)
-	conn, err := pool.Get(ctx, 0)
-	if err != nil {
-		return nil, err
-	}
-	defer pool.Put(conn)
-	return conn.Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h"}, idOf, nil)
-}
-
 // A body that has to give way must be the longest of those whose length was not announced, and
 // longer than the one that it makes room for, unless that one's length was announced. It must
 // make room for all that is needed.
--- a/connection/http1/reset_test.go
+++ b/connection/http1/reset_test.go
@@ -16,18 +16,9 @@
 // upload sends a request with a body of n bytes on a new connection.
 func upload(t *testing.T, address string, n int, expectContinue bool) (*Response, error) {
 	t.Helper()
-	pool, closePool := NewPool(address, time.Second)
-	defer closePool()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	conn, err := pool.Get(ctx, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer pool.Put(conn)
-	return conn.Do(ctx, Request{
-		Method: http.MethodPost, URI: "/", Host: "h", Body: make([]byte, n), ExpectContinue: expectContinue,
-	}, idOf, nil)
+	return exchange(ctx, address, nil, Request{Method: http.MethodPost, URI: "/", Host: "h", Body: make([]byte, n), ExpectContinue: expectContinue})
 }
 
 // Guards against the beginning of a response that is passed on as a complete one, because the
--- a/process/entry/broken_gate_test.go
+++ b/process/entry/broken_gate_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/standin/rawpeer"
 	"github.com/matryer/is"
 )
 
@@ -24,27 +25,16 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			address, closePeer, err := rawpeer.Listen(func(conn *net.TCPConn) {
+				io.WriteString(conn, test.answer)
+				io.Copy(io.Discard, conn)
+			})
 			is.NoErr(err)
-			defer l.Close()
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if _, err := conn.Read(make([]byte, 4096)); err == nil {
-						io.WriteString(conn, test.answer)
-						io.Copy(io.Discard, conn)
-					}
-					conn.Close()
-				}
-			}()
+			defer closePeer()
 			f := newGateFleet(t, respondOK("sound"))
 			sound := f.entry.options.Nodes.(staticNodes)[0]
 			// The entry prefers the gate in its own data centre.
 			sound.DataCentre = "there"
-			address := l.Addr().String()
 			broken := membership.Record{ControlAddress: address, GateAddress: address, Service: "s", DataCentre: "here", Region: "r"}
 			f.entry = newEntry(t, staticNodes{broken, sound})
 			resp := f.call(t, "/claim/x")
--- a/process/entry/dispatch.go
+++ b/process/entry/dispatch.go
@@ -356,16 +356,16 @@
 // as a gate does, the request may have been run, so that the outcome is unknown.
 func (e *Entry) classifyFailure(ctx context.Context, to *candidate, granted bool, err error) *outcome.Problem {
 	cause := context.Cause(ctx)
-	granted = granted && !errors.Is(err, http1.ErrNotSent) || errors.Is(err, http1.ErrMalformed)
+	mayHaveRun := granted && !errors.Is(err, http1.ErrNotSent) || errors.Is(err, http1.ErrMalformed)
 	switch {
 	case errors.Is(cause, http1.ErrCallerDisconnected):
-		if granted {
+		if mayHaveRun {
 			return outcome.Failed(outcome.CodeCallerDisconnected, "the caller left")
 		}
 		return outcome.Refused(outcome.CodeCallerDisconnected, "the caller left")
-	case errors.Is(cause, errKeyRemoved) && !granted:
+	case errors.Is(cause, errKeyRemoved) && !mayHaveRun:
 		return refuseKeyRemoved()
-	case errors.Is(cause, http1.ErrShutdown) && granted:
+	case errors.Is(cause, http1.ErrShutdown) && mayHaveRun:
 		return outcome.Failed(outcome.CodeTimeout, "%v", http1.ErrShutdown)
 	case errors.Is(cause, http1.ErrShutdown):
 		return outcome.Refused(outcome.CodeDraining, "%v", http1.ErrShutdown)
@@ -373,7 +373,7 @@
 		// A response from another gate cancelled this attempt. That says
 		// nothing about this gate, and the result is never read.
 		return outcome.Failed(outcome.CodeCallerDisconnected, "%v", errOtherGateResponded)
-	case errors.Is(cause, context.DeadlineExceeded) && granted:
+	case errors.Is(cause, context.DeadlineExceeded) && mayHaveRun:
 		return outcome.Failed(outcome.CodeTimeout, "the deadline has passed")
 	case errors.Is(cause, context.DeadlineExceeded):
 		return outcome.Refused(outcome.CodeDeadlineExceeded, "the deadline has passed before a slot was free")
@@ -383,7 +383,7 @@
 	}
 	to.pool.CloseIdle()
 	p := e.recordUnreachable(to, err)
-	if granted {
+	if mayHaveRun {
 		return outcome.Failed(outcome.CodeGateConnectionLost, "the gate's connection ended: %v", err)
 	}
 	return p
--- a/process/gate/bodies_test.go
+++ b/process/gate/bodies_test.go
@@ -52,35 +52,51 @@
 			announceAt(t, g, target.Address())
 			g.options.Bodies = limits.Bodies
 			g.pendingBodies = test.held
-			l, closeGate, err := http1.Listen("127.0.0.1:0", g.Serve, func() http1.Limits { return limits }, hclog.NewNullLogger())
-			is.NoErr(err)
-			defer closeGate()
-			pool, closePool := http1.NewPool(l.Address(), time.Second)
-			defer closePool()
-			conn, err := pool.Get(t.Context(), 0)
-			is.NoErr(err)
-			defer pool.Put(conn)
-			h := http.Header{}
-			now := time.Now()
-			hopheader.Request{Service: "s", SoftDeadline: now.Add(time.Second), Deadline: now.Add(5 * time.Second), QueueDeadline: now.Add(time.Second)}.Inject(h, now)
-			granted := false
-			resp, err := conn.Do(t.Context(), http1.Request{
-				Method: http.MethodPost, URI: "/", Host: "h", Header: h, Body: bytes.Repeat([]byte("x"), test.length), ExpectContinue: true,
-			}, func(http.Header) string { return "" }, func() { granted = true })
-			is.NoErr(err)
-			meta, err := hopheader.ExtractResponse(resp.Header, time.Now())
-			is.NoErr(err)
-			is.Equal(granted, test.granted)
+			res := uploadThroughGate(t, g, limits, test.length)
+			is.Equal(res.granted, test.granted)
 			if test.want == "" {
-				is.True(meta.Problem == nil)
-				is.Equal(resp.Status, http.StatusNotFound)
+				is.True(res.problem == nil)
+				is.Equal(res.status, http.StatusNotFound)
 			} else {
-				is.Equal(meta.Problem.Code, test.want)
-				is.Equal(meta.Problem.Outcome, outcome.NotRun)
-				is.True(meta.Problem.RetryAt.After(time.Now()))
+				is.Equal(res.problem.Code, test.want)
+				is.Equal(res.problem.Outcome, outcome.NotRun)
+				is.True(res.problem.RetryAt.After(time.Now()))
 			}
 			is.Equal(g.State().Outstanding, 0)
 			is.Equal(g.pendingBodies, test.held)
 		})
 	}
 }
+
+// uploadResult is what a gate has made of a request.
+type uploadResult struct {
+	granted bool
+	status  int
+	problem *outcome.Problem
+}
+
+// uploadThroughGate sends a request with a body of n bytes to the gate, as an entry does. The
+// connection stays open until the test ends.
+func uploadThroughGate(t *testing.T, g *Gate, limits http1.Limits, n int) (r uploadResult) {
+	t.Helper()
+	is := is.New(t)
+	l, closeGate, err := http1.Listen("127.0.0.1:0", g.Serve, func() http1.Limits { return limits }, hclog.NewNullLogger())
+	is.NoErr(err)
+	t.Cleanup(closeGate)
+	pool, closePool := http1.NewPool(l.Address(), time.Second)
+	t.Cleanup(closePool)
+	conn, err := pool.Get(t.Context(), 0)
+	is.NoErr(err)
+	t.Cleanup(func() { pool.Put(conn) })
+	h := http.Header{}
+	now := time.Now()
+	hopheader.Request{Service: "s", SoftDeadline: now.Add(time.Second), Deadline: now.Add(5 * time.Second), QueueDeadline: now.Add(time.Second)}.Inject(h, now)
+	res, err := conn.Do(t.Context(), http1.Request{
+		Method: http.MethodPost, URI: "/", Host: "h", Header: h, Body: bytes.Repeat([]byte("x"), n), ExpectContinue: true,
+	}, func(http.Header) string { return "" }, func() { r.granted = true })
+	is.NoErr(err)
+	meta, err := hopheader.ExtractResponse(res.Header, time.Now())
+	is.NoErr(err)
+	r.status, r.problem = res.Status, meta.Problem
+	return r
+}
--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/cuminwheel/cuminwheel/request/fingerprint"
 	"github.com/cuminwheel/cuminwheel/request/metadata"
 	"github.com/cuminwheel/cuminwheel/request/outcome"
+	"github.com/cuminwheel/cuminwheel/standin/rawpeer"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
@@ -174,22 +175,14 @@
 // gate's own target says.
 func TestNoticesOfAnotherTargetAreIgnored(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, closeTarget, err := rawpeer.Listen(func(conn *net.TCPConn) {
+		io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+	})
 	is.NoErr(err)
-	defer l.Close()
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := conn.Read(make([]byte, 4096)); err == nil {
-			io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
-		}
-	}()
+	defer closeTarget()
 	g := newGate()
 	g.options.Headers = leavingHeaders{}
-	a := announceAt(t, g, l.Addr().String())
+	a := announceAt(t, g, address)
 	gr, p := g.admit(t.Context(), requestWithin(0))
 	is.True(p == nil)
 	_, res, p := g.forward(t.Context(), &http1.IncomingRequest{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}, requestWithin(0), gr, "", 0, nil)
--- a/process/gate/overload_test.go
+++ b/process/gate/overload_test.go
@@ -23,7 +23,7 @@
 	isUsefulWhenLate bool
 }
 
-// overloadWorkloads is the load on one gate in arlc-mesh scale-2 from 22 s to 30 s:
+// overloadWorkloads is the load on one gate in 8 s of a day of high load:
 // claims, and the calls of requests that run elsewhere. It is 1.3 times the
 // capacity of three slots.
 var overloadWorkloads = []workload{
--- a/process/node/broken_answer_test.go
+++ b/process/node/broken_answer_test.go
@@ -10,41 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/cuminwheel/cuminwheel/standin/rawpeer"
 	"github.com/cuminwheel/cuminwheel/standin/target"
 	"github.com/matryer/is"
 )
 
-// brokenTarget answers each request with the same bytes, and then resets the connection or
-// closes it.
-type brokenTarget struct {
-	answer string
-	resets bool
-	// requests counts those that have arrived.
-	requests atomic.Int64
-}
-
-func (b *brokenTarget) serve(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			if _, err := conn.Read(make([]byte, 4096)); err != nil {
-				return
-			}
-			b.requests.Add(1)
-			io.WriteString(conn, b.answer)
-			// The gate reads the answer before the connection ends.
-			time.Sleep(20 * time.Millisecond)
-			if b.resets {
-				conn.(*net.TCPConn).SetLinger(0)
-			}
-		}()
-	}
-}
-
 // A caller must get no answer that its target has broken off or that is no HTTP, through the
 // whole path, and no promise that its request has not run.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
@@ -70,35 +40,41 @@
 			is := is.New(t)
 			f := newFleet(t, 0)
 			f.publish(1)
-			broken := &brokenTarget{answer: test.answer, resets: test.resets}
-			v := f.addVMWithTarget(func(v *vm) {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				t.Cleanup(func() { l.Close() })
-				v.settings.Target = l.Addr().String()
-				go broken.serve(l)
+			// requests counts those that have reached the target.
+			var requests atomic.Int64
+			address, closeTarget, err := rawpeer.Listen(func(conn *net.TCPConn) {
+				requests.Add(1)
+				io.WriteString(conn, test.answer)
+				// The gate reads the answer before the connection ends.
+				time.Sleep(20 * time.Millisecond)
+				if test.resets {
+					conn.SetLinger(0)
+				}
 			})
+			is.NoErr(err)
+			defer closeTarget()
+			v := f.addVMWithTarget(func(v *vm) { v.settings.Target = address })
 			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 			defer cancel()
 			announcer := &target.Announcer{AdminAddress: v.settings.Admin, Instance: "i", Service: "s", Address: v.settings.Target, Slots: 3, StartedAt: time.Now()}
 			go announcer.Run(ctx)
 			f.awaitStatus(v, `"nodes":1,"gate_open":true`)
-			for broken.requests.Load() < test.attempts && ctx.Err() == nil {
-				before := broken.requests.Load()
+			for requests.Load() < test.attempts && ctx.Err() == nil {
+				before := requests.Load()
 				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.settings.Entry+test.path, bytes.NewReader(make([]byte, test.upload)))
 				is.NoErr(err)
 				req.Host = "h"
 				res, err := http.DefaultClient.Do(req)
 				is.NoErr(err)
 				res.Body.Close()
-				if broken.requests.Load() > before {
+				if requests.Load() > before {
 					is.True(res.StatusCode == http.StatusBadGateway || res.StatusCode == http.StatusGatewayTimeout)
 				} else {
 					is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 					time.Sleep(100 * time.Millisecond)
 				}
 			}
-			is.Equal(broken.requests.Load(), test.attempts)
+			is.Equal(requests.Load(), test.attempts)
 		})
 	}
 }
