--- a/review/second/leave.go
+++ b/review/second/leave.go
@@ -138,3 +138,57 @@
 	wg.Wait()
 	return judgeLeave(f, l, confirmed, disturbed.Add(stabilityWindow))
 }
+
+func init() {
+	cases["leave-forgotten"] = leaveForgotten
+	addresses["leave-forgotten"] = ipsOf(4)
+}
+
+// leaveForgotten has a server leave while the store is down, all nodes killed after the
+// confirmation, and a heartbeat from before the leave arrive late.
+func leaveForgotten(f *fleet) string {
+	l := &ledger{}
+	startRides(f, "leave-forgotten", l)
+	var requests []sent
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	load(f, f.vms, 20, "", &requests, &mu, stop, &wg)
+	t := f.vms[0].startTarget("i-leaving1", 3, 30*time.Millisecond, l)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		f.setStoreFaults(map[string]any{"outage": true})
+		time.Sleep(500 * time.Millisecond)
+	}
+	t.mu.Lock()
+	t.silent = true
+	t.mu.Unlock()
+	f.record.say("target: the next heartbeat of i-leaving1 is on its way")
+	confirmed := t.leave()
+	disturbed := time.Now()
+	if trouble {
+		time.Sleep(200 * time.Millisecond)
+		for _, v := range f.vms {
+			v.signal(syscall.SIGKILL)
+		}
+		for _, v := range f.vms {
+			v.awaitExit()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, v := range f.vms {
+			v.startNode(false)
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.setStoreFaults(map[string]any{"outage": false})
+		disturbed = time.Now()
+	}
+	time.Sleep(time.Until(confirmed.Add(3500 * time.Millisecond)))
+	f.record.say("target: the heartbeat from before the leave arrives, confirmed %v", t.beat())
+	time.Sleep(time.Until(confirmed.Add(drain + 7*time.Second)))
+	t.close()
+	f.record.say("target: i-leaving1 exits")
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+	return judgeLeave(f, l, confirmed, disturbed.Add(stabilityWindow))
+}
