--- a/review/second/leave.go
+++ b/review/second/leave.go
@@ -36,8 +36,9 @@
 
 // judgeLeave checks that no request reached the server that left later than the bound. Requests
 // before inTouch, when a machine on the way was disturbed lately, are left out.
-func judgeLeave(f *fleet, l *ledger, confirmed, inTouch time.Time) string {
+func judgeLeave(f *fleet, requests []sent, l *ledger, confirmed, inTouch time.Time) string {
 	f.record.say("judged: requests that run from %.3f on, when all machines are in touch and the bound is over", max(confirmed.Add(drain).Sub(f.record.start), inTouch.Sub(f.record.start)).Seconds())
+	recordSent(f, requests)
 	late := 0
 	for _, a := range l.all() {
 		f.record.add("ran %s at %.3f by %s", a.id, a.at.Sub(f.record.start).Seconds(), a.instance)
@@ -87,7 +88,7 @@
 	time.Sleep(time.Second)
 	close(stop)
 	wg.Wait()
-	return judgeLeave(f, l, confirmed, disturbed.Add(stabilityWindow))
+	return judgeLeave(f, requests, l, confirmed, disturbed.Add(stabilityWindow))
 }
 
 func init() {
@@ -134,7 +135,7 @@
 	time.Sleep(time.Second)
 	close(stop)
 	wg.Wait()
-	return judgeLeave(f, l, confirmed, disturbed.Add(stabilityWindow))
+	return judgeLeave(f, requests, l, confirmed, disturbed.Add(stabilityWindow))
 }
 
 func init() {
@@ -188,5 +189,5 @@
 	time.Sleep(time.Second)
 	close(stop)
 	wg.Wait()
-	return judgeLeave(f, l, confirmed, disturbed.Add(stabilityWindow))
+	return judgeLeave(f, requests, l, confirmed, disturbed.Add(stabilityWindow))
 }
--- a/review/second/quota.go
+++ b/review/second/quota.go
@@ -141,11 +141,16 @@
 	return judgeQuota(f, requests, l, rate, burst)
 }
 
-// judgeQuota writes what was sent and run, and checks the rule of quotas for tenant hot.
-func judgeQuota(f *fleet, requests []sent, l *ledger, rate, burst float64) string {
+// recordSent writes what was sent and answered.
+func recordSent(f *fleet, requests []sent) {
 	for _, s := range requests {
 		f.record.add("sent %s at %.3f to %s: %d %s", s.id, s.at.Sub(f.record.start).Seconds(), s.to, s.status, s.err)
 	}
+}
+
+// judgeQuota writes what was sent and run, and checks the rule of quotas for tenant hot.
+func judgeQuota(f *fleet, requests []sent, l *ledger, rate, burst float64) string {
+	recordSent(f, requests)
 	perSecond := map[int]map[string]int{}
 	for _, a := range l.all() {
 		f.record.add("ran %s at %.3f by %s for %s", a.id, a.at.Sub(f.record.start).Seconds(), a.instance, a.tenant)
