quota, membership, node: a node that has not discovered the fleet grants no quota

Cause: the home of a customer is elected among the nodes that are known. A node that knows only itself elects itself, and its share of the fleet is 1 without peers. Nothing asked whether it could know the others.

Change: a view is discovered once it has been filled from the store, or by a comparison with a node whose view is. Until then the node is nobody's home, asks other candidates if it knows any, and refuses at once with 503 no_quota_home otherwise. Buckets fill from the discovery on. A refusal because no home was reached is 503 no_quota_home as well, not 429: the quota need not be used up.

--- a/process/entry/explain.go
+++ b/process/entry/explain.go
@@ -110,7 +110,10 @@
 	if d.RetryAt.After(now) {
 		x.Customer.RetryMillis = d.RetryAt.Sub(now).Milliseconds()
 	}
-	if !d.Allowed {
+	switch {
+	case d.HasNoHome:
+		x.Notes = append(x.Notes, "the node holds no token and has not discovered the other nodes yet: the entry would refuse with 503 no_quota_home")
+	case !d.Allowed:
 		x.Notes = append(x.Notes, "the node holds no token: the entry would ask the customer's home and, without a grant in time, refuse with 429 over_quota")
 	}
 }
--- a/process/entry/quotas.go
+++ b/process/entry/quotas.go
@@ -29,7 +29,10 @@
 	waitCtx, cancel := context.WithDeadline(ctx, c.deadline)
 	d := e.options.Quotas.Take(waitCtx, who)
 	cancel()
-	if !d.Allowed {
+	switch {
+	case d.HasNoHome:
+		return nil, 0, outcome.Refused(outcome.CodeNoQuotaHome, "no node that grants the quota of customer %s was reached", who.Name).WithRetryAt(d.RetryAt)
+	case !d.Allowed:
 		return nil, 0, outcome.Refused(outcome.CodeOverQuota, "customer %s is over its quota of %g requests per second", who.Name, d.Quota).WithRetryAt(d.RetryAt)
 	}
 	resp, attempts, problem := e.dispatch(ctx, c)
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -297,7 +297,7 @@
 // views differ, both nodes send each other the records in the buckets that
 // differ. It reports whether the exchange is complete.
 func (g *Gossiper) compareWith(ctx context.Context, peer Record) bool {
-	request := Message{Sender: g.self(), Digest: g.view.Digest()}
+	request := Message{Sender: g.self(), Digest: g.view.Digest(), IsUndiscovered: !g.view.IsDiscovered()}
 	request.EvidenceDigest = g.evidence.Digest(time.Now())
 	request.ConfigurationVersion, request.ConfigurationHolder = g.newestKnownVersion()
 	var reply Message
@@ -306,13 +306,25 @@
 	}
 	g.recordRemoteVersion(cmp.Or(reply.ConfigurationHolder, peer.ControlAddress), reply.ConfigurationVersion)
 	g.compareEvidence(ctx, peer, reply)
-	if len(reply.BucketDigests) == 0 {
+	if !g.exchangeRecords(ctx, peer, reply.BucketDigests) {
+		return false
+	}
+	if !reply.IsUndiscovered {
+		g.view.SetDiscovered()
+	}
+	return true
+}
+
+// exchangeRecords sends the records in the buckets that differ from those of a peer, which
+// sends its own. It reports whether the views then hold the same. Without digests they do.
+func (g *Gossiper) exchangeRecords(ctx context.Context, peer Record, bucketDigests []uint64) bool {
+	if len(bucketDigests) == 0 {
 		return true
 	}
-	digests := g.view.BucketDigests(len(reply.BucketDigests))
-	push := Message{Sender: g.self(), BucketCount: len(digests)}
+	digests := g.view.BucketDigests(len(bucketDigests))
+	push := Message{Sender: g.self(), BucketCount: len(digests), IsUndiscovered: !g.view.IsDiscovered()}
 	for i := range digests {
-		if digests[i] != reply.BucketDigests[i] {
+		if digests[i] != bucketDigests[i] {
 			push.WantedBuckets = append(push.WantedBuckets, i)
 		}
 	}
--- a/process/membership/message.go
+++ b/process/membership/message.go
@@ -21,6 +21,9 @@
 	// means the sender itself.
 	ConfigurationVersion uint64 `codec:"v,omitempty"`
 	ConfigurationHolder  string `codec:"h,omitempty"`
+	// IsUndiscovered means that the view of the sender is not discovered. It is set in
+	// comparisons.
+	IsUndiscovered bool `codec:"g,omitempty"`
 	// BucketDigests is the result of View.BucketDigests for the sender's view. It
 	// is sent when the digests of the views differ.
 	BucketDigests []uint64 `codec:"b,omitempty"`
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -21,11 +21,13 @@
 	onOwnRecord func(departures string)
 	// sorted is the result of Nodes; nil if the view has changed since.
 	sorted []Record
+	// discovered is the result of Discovered.
+	discovered chan struct{}
 }
 
 // NewView returns a view that holds only the node's own record.
 func NewView(self Record) *View {
-	v := &View{self: self, records: map[string]Record{}, countByService: map[string]int{}}
+	v := &View{self: self, records: map[string]Record{}, countByService: map[string]int{}, discovered: make(chan struct{})}
 	v.put(self)
 	return v
 }
@@ -97,6 +99,30 @@
 	return true
 }
 
+// IsDiscovered reports whether the view has been filled with the records of the fleet: from
+// the store, or from a node whose view had been. Until then it may lack any node, so that
+// the node must not take those that it knows, or itself alone, for the whole fleet.
+func (v *View) IsDiscovered() bool {
+	select {
+	case <-v.discovered:
+		return true
+	default:
+		return false
+	}
+}
+
+// Discovered returns a channel that is closed when the view has been filled.
+func (v *View) Discovered() <-chan struct{} { return v.discovered }
+
+// SetDiscovered records that the view has been filled.
+func (v *View) SetDiscovered() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.IsDiscovered() {
+		close(v.discovered)
+	}
+}
+
 // Leave marks the node's own record as gone and returns it.
 func (v *View) Leave() Record {
 	v.mu.Lock()
--- /dev/null
+++ b/process/node/discovery_test.go
@@ -0,0 +1,60 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwheel/cuminwheel/platform"
+	"github.com/cuminwheel/cuminwheel/standin/caller"
+	"github.com/cuminwheel/cuminwheel/standin/store"
+	"github.com/cuminwheel/cuminwheel/version/configuration"
+	"github.com/matryer/is"
+)
+
+// Guards against nodes that grant a customer's whole quota each (QUOTA) because they take
+// themselves for the whole fleet: they have joined while the records of nodes cannot be read,
+// and know no other node.
+func TestNodesThatKnowNoOtherGrantNoSecondQuota(t *testing.T) {
+	tests := []struct {
+		name   string
+		joined int
+		faults store.Faults
+	}{
+		{"one node joins", 1, store.Faults{OutageTopics: []string{platform.NodesTopic}}},
+		{"two nodes join", 2, store.Faults{OutageTopics: []string{platform.NodesTopic}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const rate, burst, seconds = 20, 20, 5
+			const limit = (rate*seconds+burst)*1.1 + 20
+			f := startFleet(t, 3)
+			f.publishCustomers(2, configuration.DraftCustomer{Name: "hot", Keys: []string{"k"}, RequestsPerSecond: rate, Burst: burst})
+			for _, v := range f.vms {
+				f.awaitStatus(v, `"configuration_version":2`)
+			}
+			time.Sleep(3 * time.Second) // the buckets are full
+			f.store.SetFaults(test.faults)
+			for range test.joined {
+				v := f.addVM()
+				f.awaitStatus(v, `"configuration_version":2`)
+			}
+			time.Sleep(5500 * time.Millisecond) // the gates open also if their nodes know no other
+			var entries []string
+			for _, v := range f.vms {
+				entries = append(entries, v.settings.Entry)
+			}
+			l, closeLoad := caller.New(caller.Workload{
+				Entries: entries, Host: "h", Paths: []string{"/read/a"}, Credentials: []caller.Credential{{Key: "k", Customer: "hot"}},
+				Rate: ratePerEntry * float64(len(entries)), Until: time.Now().Add(seconds * time.Second), Timeout: 1500 * time.Millisecond, MaxInFlight: 400, Seed: 1,
+			})
+			defer closeLoad()
+			r := l.Run(t.Context())
+			if float64(r.Answered) > limit {
+				t.Errorf("%d requests ran in %d s, %.0f allowed", r.Answered, seconds, limit)
+			}
+			is.True(float64(r.Answered) >= rate*seconds) // the quota is granted once
+		})
+	}
+}
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -30,6 +30,20 @@
 	retry(ctx, func() bool { return n.writeOwnRecord(ctx) })
 	sleep(ctx, settleTime)
 	retry(ctx, func() bool { return n.readNodes(ctx) })
+	if !n.view.IsDiscovered() {
+		sleep(ctx, time.Until(n.startedAt.Add(emptyStorePatience)))
+		retry(ctx, func() bool { return n.readNodes(ctx) })
+	}
+}
+
+// followDiscovery lets the node grant quotas once it has discovered the fleet.
+func (n *Node) followDiscovery(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.view.Discovered():
+		n.quotas.FollowNodes()
+		n.logger.Info("fleet discovered", "nodes", len(n.view.Nodes()), "stored", n.hasReadNodes.Load(), "after_ms", time.Since(n.startedAt).Milliseconds())
+	}
 }
 
 // maxLoggedRecords bounds the invalid records of one call that are logged.
@@ -52,6 +66,11 @@
 	before := n.view.Version()
 	n.view.Merge(records)
 	n.hasReadNodes.Store(true)
+	// The store may have come back from an older copy, to which the other nodes add their
+	// records again.
+	if n.settings.Bootstrap || n.wasRegistered.Load() || len(n.view.Nodes()) > 1 || time.Since(n.startedAt) >= emptyStorePatience {
+		n.view.SetDiscovered()
+	}
 	for _, err := range invalid[:min(len(invalid), maxLoggedRecords)] {
 		n.logger.Warn("record of a node in the store ignored", "reason", err)
 	}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -171,6 +171,7 @@
 	n.startTask(func() { n.gossiper.Run(ctx) })
 	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
+	n.startTask(func() { n.followDiscovery(ctx) })
 	if !s.Bootstrap {
 		n.startTask(func() { n.recoverDepartures(ctx) })
 	}
--- a/process/quota/client.go
+++ b/process/quota/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +34,9 @@
 	Stock int
 	// Age is the time since the home last replied; negative if it never did.
 	Age time.Duration
+	// HasNoHome means that no node was found that may grant, so that it is unknown whether
+	// the quota is used up.
+	HasNoHome bool
 	// expiresAt is when the token that the request has taken expires.
 	expiresAt time.Time
 }
@@ -97,6 +99,11 @@
 		c.meter.RecordQuotaDecision(resultAllowed)
 		return d
 	}
+	if c.home.isAlone() {
+		d := s.refuseWithoutHome(now)
+		c.mu.Unlock()
+		return c.finish(s, d)
+	}
 	w := &waiter{result: make(chan Decision, 1), until: now.Add(maxWait)}
 	s.waiters = append(s.waiters, w)
 	if !s.isCalling {
@@ -116,13 +123,14 @@
 	defer c.mu.Unlock()
 	s, ok := c.stocks[who.Name]
 	if !ok {
-		return Decision{Allowed: !who.HasQuota(), Quota: who.RequestsPerSecond, Age: -1}
+		return Decision{Allowed: !who.HasQuota(), Quota: who.RequestsPerSecond, Age: -1, HasNoHome: who.HasQuota() && c.home.isAlone()}
 	}
 	d := s.decision(now)
 	d.Quota, d.Allowed = who.RequestsPerSecond, d.Stock > 0 || !who.HasQuota()
 	if s.pausedUntil.After(now) {
 		d.RetryAt = s.pausedUntil
 	}
+	d.HasNoHome = !d.Allowed && c.home.isAlone()
 	return d
 }
 
@@ -132,31 +140,31 @@
 	defer timer.Stop()
 	select {
 	case d := <-w.result:
-		return c.finish(s, d, resultOver)
+		return c.finish(s, d)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	now := time.Now()
 	c.mu.Lock()
 	s.removeWaiter(w)
-	d := s.decision(now)
-	d.RetryAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(defaultRetryAfter)))
-	if s.pausedUntil.After(d.RetryAt) {
-		d.RetryAt = s.pausedUntil
-	}
+	d := s.refuseWithoutHome(now)
 	c.mu.Unlock()
 	select {
 	case d := <-w.result: // The result came at the same time.
-		return c.finish(s, d, resultOver)
+		return c.finish(s, d)
 	default:
 	}
-	return c.finish(s, d, resultNoHome)
+	return c.finish(s, d)
 }
 
-// finish records a decision; result is the reason if the request is refused.
-func (c *Client) finish(s *stock, d Decision, result string) Decision {
-	if d.Allowed {
+// finish records a decision.
+func (c *Client) finish(s *stock, d Decision) Decision {
+	result := resultOver
+	switch {
+	case d.Allowed:
 		result = resultAllowed
+	case d.HasNoHome:
+		result = resultNoHome
 	}
 	c.meter.RecordQuotaDecision(result)
 	if d.Allowed {
@@ -259,10 +267,11 @@
 	if v := c.home.nodes.Version(); s.viewVersion != v || s.candidates[0] == "" {
 		s.candidates, s.viewVersion = elect(c.home.nodes.Nodes(), s.name), v
 	}
+	isDiscovered := c.home.nodes.IsDiscovered()
 	var order, avoided []string
 	for _, address := range s.candidates {
 		switch {
-		case address == "":
+		case address == "" || address == c.home.self && !isDiscovered:
 		case c.avoided[address].After(now):
 			avoided = append(avoided, address)
 		default:
--- a/process/quota/fleet_test.go
+++ b/process/quota/fleet_test.go
@@ -24,6 +24,14 @@
 	mu      sync.Mutex
 	version uint64
 	nodes   []membership.Record
+	// isUndiscovered means that the records of the other nodes could not be read yet.
+	isUndiscovered bool
+}
+
+func (l *localNodes) IsDiscovered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.isUndiscovered
 }
 
 func (l *localNodes) Version() uint64 {
--- a/process/quota/fuzz_test.go
+++ b/process/quota/fuzz_test.go
@@ -37,7 +37,9 @@
 			return
 		}
 		self := membership.Record{ControlAddress: "10.0.0.1:1", GateAddress: "10.0.0.1:2", Service: "s", Incarnation: 1}
-		r := NewReceiver(NewHome(self.ControlAddress, membership.NewView(self), noNetwork{}))
+		view := membership.NewView(self)
+		view.SetDiscovered() // the node may grant
+		r := NewReceiver(NewHome(self.ControlAddress, view, noNetwork{}))
 		for range 2 {
 			var reply TakeReply
 			if err := r.Take(request, &reply); err != nil {
--- a/process/quota/home.go
+++ b/process/quota/home.go
@@ -16,10 +16,12 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Nodes supplies the nodes that have not left. Version grows with each change.
+// Nodes supplies the nodes that have not left. Version grows with each change. Until
+// IsDiscovered any node may be missing.
 type Nodes interface {
 	Version() uint64
 	Nodes() []membership.Record
+	IsDiscovered() bool
 }
 
 const (
@@ -39,7 +41,6 @@
 	self      string
 	nodes     Nodes
 	transport Transport
-	startedAt time.Time
 	probes    prober
 	outages   outageTable
 
@@ -50,8 +51,12 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// discoveredAt is from when the node may be the home of a customer: when it discovered
+	// the fleet. A node that does not know the others would find itself to be the home of
+	// all customers.
+	discoveredAt time.Time
 	// viewVersion, known and removals follow the changes of the nodes. known holds when
-	// the node learned of another one; zero for those that it knew from the start.
+	// the node learned of another one; zero for those that it knew at discoveredAt.
 	viewVersion uint64
 	known       map[string]time.Time
 	removals    []removal
@@ -79,14 +84,25 @@
 // NewHome returns a home without state.
 func NewHome(self string, nodes Nodes, t Transport) *Home {
 	h := &Home{
-		self: self, nodes: nodes, transport: t, startedAt: time.Now(),
+		self: self, nodes: nodes, transport: t,
 		accounts: map[string]*account{}}
 	h.probes = prober{call: h.call, contacts: contacts{}}
 	h.outages = outageTable{home: h, byAddress: map[string]*outage{}}
-	h.followNodes(h.startedAt)
+	h.FollowNodes()
 	return h
 }
 
+// FollowNodes notes the changes of the nodes since the last call. It must be called when
+// the node has discovered the fleet.
+func (h *Home) FollowNodes() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.followNodes(time.Now())
+}
+
+// isAlone reports whether the node knows no other one and cannot tell that there is none.
+func (h *Home) isAlone() bool { return !h.nodes.IsDiscovered() && len(h.nodes.Nodes()) <= 1 }
+
 // call calls a method of another node and reports whether it replied in time.
 func (h *Home) call(address, method string, args, reply any) bool {
 	return h.callWithin(callTimeout, address, method, args, reply)
@@ -115,6 +131,12 @@
 	}
 	now := time.Now()
 	h.mu.Lock()
+	h.followNodes(now)
+	if h.discoveredAt.IsZero() {
+		h.mu.Unlock()
+		// It has no bucket for a new home either.
+		return TakeReply{NotHome: request.NewHome == ""}
+	}
 	a := h.accountOf(request, now)
 	order := a.candidates
 	rank := order.rankOf(h.self)
@@ -133,7 +155,7 @@
 		request.Forwarded = true
 		return h.forward(to, request)
 	case rank == 0:
-		since := homeSince(request.Name, h.self, h.startedAt, h.removals)
+		since := homeSince(request.Name, h.self, h.discoveredAt, h.removals)
 		h.mu.Unlock()
 		return h.takeAsHome(request, order, since)
 	}
@@ -232,6 +254,12 @@
 
 // followNodes records the nodes that left since the last call. The caller holds mu.
 func (h *Home) followNodes(now time.Time) {
+	if h.discoveredAt.IsZero() {
+		if !h.nodes.IsDiscovered() {
+			return
+		}
+		h.discoveredAt = now
+	}
 	version := h.nodes.Version()
 	if version == h.viewVersion {
 		return
--- a/process/quota/rule_test.go
+++ b/process/quota/rule_test.go
@@ -199,6 +199,10 @@
 		})
 	case "join":
 		f.join()
+	case "join unread":
+		f.joinUnread(e.Lasts)
+	case "restart unread":
+		f.restartUnread(e.Count, e.Lasts)
 	case "leave":
 		f.mu.Lock()
 		isJoined := one.isJoined
--- a/process/quota/stock.go
+++ b/process/quota/stock.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -115,6 +116,17 @@
 	return d
 }
 
+// refuseWithoutHome returns a refusal because no node that may grant was found.
+func (s *stock) refuseWithoutHome(now time.Time) Decision {
+	d := s.decision(now)
+	d.HasNoHome = true
+	d.RetryAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(defaultRetryAfter)))
+	if s.pausedUntil.After(d.RetryAt) {
+		d.RetryAt = s.pausedUntil
+	}
+	return d
+}
+
 // serveWaiters gives tokens to the requests that wait, in the order of their arrival.
 func (s *stock) serveWaiters(now time.Time) {
 	for len(s.waiters) > 0 {
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -38,6 +38,9 @@
 	CodeUnauthorized Code = "unauthorized"
 	// CodeOverQuota means that the customer's quota is used up.
 	CodeOverQuota Code = "over_quota"
+	// CodeNoQuotaHome means that no node was found that knows how much of the customer's
+	// quota is used.
+	CodeNoQuotaHome Code = "no_quota_home"
 	// CodeNotReady means that the node has no configuration yet.
 	CodeNotReady Code = "not_ready"
 	// CodeNoTarget means that no target of the service is available.
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -21,6 +21,8 @@
 type Faults struct {
 	// Outage responds to each call with 503 without carrying it out.
 	Outage bool `json:"outage"`
+	// OutageTopics responds so to the calls that concern these topics.
+	OutageTopics []string `json:"outage_topics"`
 	// Silent sends no response to any call and keeps the connection open.
 	Silent bool `json:"silent"`
 	// DelayMillis delays each call.
@@ -142,7 +144,7 @@
 			io.Copy(io.Discard, c.Request().Body)
 			<-c.Request().Context().Done()
 			return nil
-		case f.Outage:
+		case f.Outage || slices.Contains(f.OutageTopics, c.QueryParam("topic")):
 			return c.NoContent(http.StatusServiceUnavailable)
 		case isLate:
 			return s.appendLate(c, time.Duration(f.LateMillis)*time.Millisecond)
