gate, node: a gate of an unknown fleet has no slack of the retry limit and no trials

The count of gates is 0 while the fleet is not discovered: such a gate has no part of the slack (one retry, and what its first attempts earn), and is not elected.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -67,8 +67,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// GateCount returns the number of gates of the service. It is called for each
-	// request.
+	// GateCount returns the number of gates of the service, or 0 if it is not known. It is
+	// called for each request.
 	GateCount func() int
 	// IsTrialGate reports whether the gate is elected to run the trial of a quarantined
 	// request in a round; nil means that it never is.
--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -37,9 +37,13 @@
 )
 
 // newRetryQuota returns the share of one of the given number of gates in a limit
-// of ratio retries per request plus slack retries per window.
+// of ratio retries per request plus slack retries per window. If their number is not known
+// (0), the gate has no part of the slack.
 func newRetryQuota(ratio, slack float64, window time.Duration, gates int) retryQuota {
-	share := slack / float64(max(1, gates))
+	share := 0.0
+	if gates > 0 {
+		share = slack / float64(gates)
+	}
 	return retryQuota{
 		tokensPerRequest: ratioShare * ratio,
 		tokensPerSecond:  refillShare * share / window.Seconds(),
--- a/process/gate/retry_budget_test.go
+++ b/process/gate/retry_budget_test.go
@@ -82,6 +82,26 @@
 	})
 }
 
+// Guards against gates that hold the retry limit of a whole service each (BUDGET) because
+// their nodes do not know how many gates there are: 30 of them stay within the slack.
+func TestGatesOfAnUnknownFleetShareNoSlack(t *testing.T) {
+	is := is.New(t)
+	const gates, slack, window = 30, 60.0, 10 * time.Second
+	retries := 0
+	for range gates {
+		b := retryBudget{quota: newRetryQuota(0.2, slack, window, 0)}
+		b.tokens = b.quota.capacity
+		for now := time.Unix(0, 0); now.Before(time.Unix(10, 0)); now = now.Add(10 * time.Millisecond) {
+			if b.canWithdraw(now, 0) {
+				b.withdraw()
+				retries++
+			}
+		}
+	}
+	is.True(retries > 0)
+	is.True(retries <= slack)
+}
+
 // A service with few requests must still be able to retry after trials of
 // unhealthy targets, so its budget grows with time alone.
 func TestBudgetRefillsOverTime(t *testing.T) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -150,7 +150,7 @@
 	g, closeGate := gate.New(gate.Options{
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		GateCount: func() int { return n.view.CountOf(s.Service) }, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap, OnProbe: n.recordProber,
+		GateCount: n.gateCount, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap, OnProbe: n.recordProber,
 		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
@@ -180,9 +180,21 @@
 	return nil
 }
 
+// gateCount returns the number of gates of the node's service, or 0 while the node has not
+// discovered the fleet.
+func (n *Node) gateCount() int {
+	if !n.view.IsDiscovered() {
+		return 0
+	}
+	return n.view.CountOf(n.settings.Service)
+}
+
 // isTrialGate reports whether the node's gate is elected to run the trial of a quarantined
-// request.
+// request. It is not while there may be gates that the node does not know.
 func (n *Node) isTrialGate(request fingerprint.Fingerprint, round uint64) bool {
+	if !n.view.IsDiscovered() {
+		return false
+	}
 	var gates []string
 	self := n.view.Self()
 	for _, r := range n.view.Nodes() {
