node, platform: nodes find the fleet through contacts while the records of nodes cannot be read

What callers saw: at a node that joined while the partition with the records of nodes was down, customers with a quota were refused until it was back, however little they sent, and all other requests were served by the node's own target only.

A node that cannot read the records of all nodes asks three of the latest contacts and compares its view with theirs; contacts that were killed are tried in vain and others drawn at the next attempt. Cost: one write for each of three readers a region, one read for each second failed attempt of a node that has not discovered the fleet.

--- a/process/membership/readers.go
+++ b/process/membership/readers.go
@@ -33,6 +33,9 @@
 // Place returns the index of the node among those that read the store, and their number.
 func (g *Gossiper) Place() (index, count int) { return g.currentTree().Place() }
 
+// IsReader reports whether the node is one of those of its region that read the store.
+func (g *Gossiper) IsReader() bool { return g.currentTree().IsReader() }
+
 // ReadsAt returns from when on the node reads the store, if it hears of no reader until
 // then; the zero time means always. The channel is closed when that may have changed.
 func (g *Gossiper) ReadsAt() (at time.Time, changed <-chan struct{}) {
--- a/process/node/discovery_test.go
+++ b/process/node/discovery_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,40 @@
 		})
 	}
 }
+
+// Guards against nodes that cannot serve customers with a quota, or know no gate but their
+// own, for as long as the records of nodes cannot be read: they find the others through the
+// contacts, and a customer below its quota is not refused.
+func TestNodeFindsTheFleetThroughContacts(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4)
+	f.publishCustomers(2, configuration.DraftCustomer{Name: "calm", Keys: []string{"k"}, RequestsPerSecond: 60, Burst: 60})
+	client, closeClient := platform.NewStore(f.storeAddress)
+	defer closeClient()
+	registry := platform.NewNodeRegistry(client)
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if contacts, err := registry.Contacts(t.Context()); err == nil && len(contacts) == 3 { // the readers of a region
+			break
+		}
+	}
+	contacts, err := registry.Contacts(t.Context())
+	is.NoErr(err)
+	is.Equal(len(contacts), 3)
+	dead := contacts[0] // a contact that was killed has not removed its record
+	dead.ControlAddress, dead.GateAddress = "127.0.0.1:1", "127.0.0.1:2"
+	is.NoErr(registry.JoinContacts(t.Context(), dead))
+	f.store.SetFaults(store.Faults{OutageTopics: []string{platform.NodesTopic}})
+	v := f.addVM()
+	f.awaitStatus(v, `"ready":true`)
+	f.awaitStatus(v, `"nodes":5,"gate_open":true`)
+	l, closeLoad := caller.New(caller.Workload{
+		Entries: []string{v.settings.Entry}, Host: "h", Paths: []string{"/read/a"}, Credentials: []caller.Credential{{Key: "k", Customer: "calm"}},
+		Rate: ratePerEntry, Until: time.Now().Add(3 * time.Second), Timeout: 1500 * time.Millisecond, MaxInFlight: 200, Seed: 1,
+	})
+	defer closeLoad()
+	r := l.Run(t.Context())
+	is.Equal(r.Answered, r.Sent)
+	for _, other := range f.vms {
+		f.awaitStatus(other, fmt.Sprintf(`"nodes":%d`, 5))
+	}
+}
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -25,7 +25,17 @@
 // have departures that must not be overwritten.
 func (n *Node) join(ctx context.Context) {
 	if !n.settings.Bootstrap {
-		retry(ctx, func() bool { return n.readNodes(ctx) })
+		asksContacts := false
+		retry(ctx, func() bool {
+			if n.readNodes(ctx) {
+				return true
+			}
+			// Not after each failure: the whole store may be down.
+			if asksContacts = !asksContacts; asksContacts {
+				n.askContacts(ctx)
+			}
+			return false
+		})
 	}
 	retry(ctx, func() bool { return n.writeOwnRecord(ctx) })
 	sleep(ctx, settleTime)
--- a/process/node/leave.go
+++ b/process/node/leave.go
@@ -100,4 +100,5 @@
 	if err := n.platform.Registry.Leave(ctx, gone); err != nil {
 		n.logger.Warn("removing the node's record from the store failed", "reason", err)
 	}
+	n.leaveContacts(ctx, gone)
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -41,6 +41,13 @@
 	Leave(ctx context.Context, r membership.Record) error
 	// Nodes returns the valid records, and an error for each of the others.
 	Nodes(ctx context.Context) (records []membership.Record, invalid []error, err error)
+	// JoinContacts writes a node's record among the contacts: a few nodes whose records are
+	// kept once more, apart from those of all nodes.
+	JoinContacts(ctx context.Context, r membership.Record) error
+	// LeaveContacts removes a node's record from the contacts.
+	LeaveContacts(ctx context.Context, r membership.Record) error
+	// Contacts returns the records of the contacts, the latest first.
+	Contacts(ctx context.Context) ([]membership.Record, error)
 	// Reverted returns a channel that is closed when the registry next loses what
 	// was written in the last seconds.
 	Reverted() <-chan struct{}
@@ -105,6 +112,8 @@
 	// wasRegistered means that the store has had a record of this node.
 	wasRegistered atomic.Bool
 	isLeaving     atomic.Bool
+	// isContact means that the node has written its record among the contacts.
+	isContact atomic.Bool
 	// deadline is when a leaving node must have stopped; nil if it is not leaving.
 	deadline atomic.Pointer[time.Time]
 	// cleanups run in reverse order when the node stops.
@@ -172,6 +181,7 @@
 	n.startTask(func() { n.refuseRemovedCustomers(ctx) })
 	n.startTask(func() { n.join(ctx) })
 	n.startTask(func() { n.followDiscovery(ctx) })
+	n.startTask(func() { n.serveAsContact(ctx) })
 	if !s.Bootstrap {
 		n.startTask(func() { n.recoverDepartures(ctx) })
 	}
