node: a node is not ready until it has discovered the fleet

What callers saw: a node that found no other for 3 s took itself for the only one and was ready. Its callers were served by its own target alone, and customers with a quota not at all, while other nodes would have served them. It now stays not ready; where all nodes are, the platform sends callers in spite of that.

Test: node.TestNodeThatKnowsNoOtherIsNotReady failed before (ready after 3 s).

--- a/process/node/discovery_test.go
+++ b/process/node/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,3 +97,20 @@
 		f.awaitStatus(other, fmt.Sprintf(`"nodes":%d`, 5))
 	}
 }
+
+// Guards against callers that are sent to a node which knows no gate but its own, while the
+// other nodes would serve them: it is not ready, however long it has been running.
+func TestNodeThatKnowsNoOtherIsNotReady(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2)
+	f.store.SetFaults(store.Faults{OutageTopics: []string{platform.NodesTopic, platform.ContactsTopic}})
+	v := f.addVM()
+	f.awaitStatus(v, `"configuration_version":1`)
+	for range 40 {
+		is.True(strings.Contains(f.status(v), `"ready":false`))
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.store.SetFaults(store.Faults{})
+	f.awaitStatus(v, `"ready":true`)
+	is.True(strings.Contains(f.status(v), `"nodes":3`))
+}
--- a/process/node/http.go
+++ b/process/node/http.go
@@ -15,15 +15,11 @@
 	"github.com/labstack/echo/v4"
 )
 
-// discoveryTimeout is how long a node that finds no other reports that it isn't
-// ready. After that it is taken to be the only one.
-const discoveryTimeout = 3 * time.Second
-
-// isReady reports whether the node accepts callers: it must know a configuration
-// and other nodes, and must not be leaving.
+// isReady reports whether the node accepts callers: it must know a configuration, must have
+// discovered the fleet, and must not be leaving. Other nodes serve its callers better until
+// then; if there are none, the platform sends them in spite of the response.
 func (n *Node) isReady() bool {
-	isDiscoveryDone := n.hasReadNodes.Load() || len(n.view.Nodes()) > 1 || time.Since(n.startedAt) > discoveryTimeout
-	return !n.isLeaving.Load() && n.configuration.Configuration().Version > 0 && isDiscoveryDone
+	return !n.isLeaving.Load() && n.configuration.Configuration().Version > 0 && n.view.IsDiscovered()
 }
 
 // newReadyHandler returns the handler of the platform's readiness checks.
