node, gate, membership: a leave outlives all nodes that hold it

Cause: the restarted gate took the word of a node that had itself just started. That nobody holds a leave and that there was none looked the same.

Change: a leave is confirmed once the store holds it, and by other nodes' word alone only if the store has not taken it for 5 s. A gate that no witness (a node that has run from the first start, or has compared views with a witness) has told about the time before its start doubts a target that is older than itself: it gets requests only while it announces itself regularly. Ruled out: the store alone without a limit; heartbeat_address; 5 s without requests; the health path (docs/design/departures.md).

Replaced checks: TestConfirmedLeaveOutlivesTheGate ("store is away") and TestAwaitHolder asked for a 200 on one node's word at once, which is the fault. The first repeats the call, as targets do, for 7 s at most, each within a second, and asks for the same closed gate after it; the second has the same cases with and without enough time for the store.

--- a/cmd/cuminwheel/node.go
+++ b/cmd/cuminwheel/node.go
@@ -42,6 +42,7 @@
 		stringFlag("service", "", "service of the target beside the node"),
 		stringFlag("target", "127.0.0.1:7006", "address of the target beside the node, IP:port"),
 		stringFlag("store", "127.0.0.1:7100", "address of the platform's store, IP:port"),
+		&cli.DurationFlag{Name: "announcement-interval", Value: settings.DefaultAnnouncementInterval, Usage: "the time between two announcements of the target", Sources: envVar("announcement-interval")},
 		&cli.DurationFlag{Name: "grace", Value: settings.DefaultGracePeriod, Usage: "how long the node may run after SIGTERM", Sources: envVar("grace")},
 		&cli.FloatFlag{Name: "retry-ratio", Value: settings.DefaultRetryRatio, Usage: "retries per request, over the whole fleet", Sources: envVar("retry-ratio")},
 		&cli.FloatFlag{Name: "retry-slack", Value: settings.DefaultRetrySlack, Usage: "additional retries in each window", Sources: envVar("retry-slack")},
@@ -61,7 +62,7 @@
 		AdvertisedGate: c.String("reached-gate"), AdvertisedControl: c.String("reached-control"),
 		Region: c.String("region"), DataCentre: c.String("data-centre"),
 		Service: c.String("service"), Target: c.String("target"), Store: c.String("store"),
-		GracePeriod: c.Duration("grace"), RetryRatio: c.Float("retry-ratio"), RetrySlack: c.Float("retry-slack"),
+		GracePeriod: c.Duration("grace"), AnnouncementInterval: c.Duration("announcement-interval"), RetryRatio: c.Float("retry-ratio"), RetrySlack: c.Float("retry-slack"),
 		RetryWindow: c.Duration("retry-window"),
 	}
 	return s, s.Validate()
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -35,7 +35,7 @@
   "$bin" node --entry "$(address "$1" 0)" --gate "$(address "$1" 1)" --control "$(address "$1" 2)" \
     --admin "$(address "$1" 3)" --ready "$(address "$1" 4)" --metrics "$(address "$1" 5)" \
     --target "$(address "$1" 6)" --service "${services[$1]}" --region "${regions[$1]}" \
-    --data-centre "${regions[$1]}-$((i / 2 % 2))" --store "$store" --grace 6s >>"$logs/node$1.txt" 2>&1 &
+    --data-centre "${regions[$1]}-$((i / 2 % 2))" --store "$store" --grace 6s --announcement-interval 500ms >>"$logs/node$1.txt" 2>&1 &
   node_pids[$1]=$!
   pids+=($!)
 }
--- a/process/gate/admission.go
+++ b/process/gate/admission.go
@@ -24,6 +24,8 @@
 		return outcome.Refused(outcome.CodeNoTarget, "no target has announced itself")
 	case !g.target.isOpen():
 		return outcome.Refused(outcome.CodeDraining, "the target is leaving")
+	case g.isDoubted(now):
+		return outcome.Refused(outcome.CodeNoTarget, "the target may have left before the node restarted")
 	case !now.Before(req.Deadline):
 		return outcome.Refused(outcome.CodeDeadlineExceeded, "the deadline has passed")
 	case req.EntryLeaves && now.Add(g.target.durations.stallLimit(req.RouteHash, g.target.durations.all)).After(req.Deadline):
--- a/process/gate/announcement.go
+++ b/process/gate/announcement.go
@@ -41,10 +41,10 @@
 	ErrWrongTarget = errors.New("the announcement is not of the target beside this node")
 	// ErrStale means that the gate already knows a newer state of the target.
 	ErrStale = errors.New("the message is older than the known state of the target")
-	// ErrNotHeld means that the gate has closed for a target that leaves, but no process
-	// other than the node holds that yet. It must not be confirmed: if the node were killed,
-	// its next process would not know of it.
-	ErrNotHeld = errors.New("the target gets no new requests, but no other process holds its leave yet; repeat the call")
+	// ErrNotHeld means that the gate has closed for a target that leaves, but that neither
+	// the store nor, after some seconds, other nodes hold that yet. It must not be confirmed:
+	// if the node were killed, its next process would not know of it.
+	ErrNotHeld = errors.New("the target gets no new requests, but the store does not hold its leave yet; repeat the call")
 )
 
 // AnnouncementError reports an invalid field of an announcement and how to correct
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -79,6 +79,8 @@
 	// Recovering means that the gate may have confirmed the leave of its target before it
 	// restarted. It admits nothing until EndRecovery.
 	Recovering bool
+	// AnnouncementInterval is the time between two announcements of the target.
+	AnnouncementInterval time.Duration
 	// OnProbe, if not nil, is called while the gate recovers, with the control address of
 	// each node whose entry queries the gate's state.
 	OnProbe func(node string)
@@ -107,6 +109,10 @@
 	// isRecovering means that others have not been asked yet which leaves this gate has
 	// confirmed.
 	isRecovering bool
+	// hasDoubts means that nobody could tell; doubtTimer refuses the waiters when a target
+	// that is doubted stops announcing itself.
+	hasDoubts  bool
+	doubtTimer *time.Timer
 	// limitTimer dispatches waiters when the target's limit admits one.
 	limitTimer *time.Timer
 	// losses holds the requests whose connections have ended lately, the oldest first;
@@ -147,14 +153,19 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	previousInstance := g.target.announced.Instance
+	previous := g.target.announced
+	lastAt := g.target.lastAnnouncedAt
 	changed, err := g.target.applyAnnouncement(a, now)
 	if err != nil {
 		return err
 	}
+	if a.identity() != previous.identity() {
+		lastAt = time.Time{}
+	}
+	g.recordRegularity(now, lastAt)
 	if changed {
 		g.startProbation()
-		if previousInstance != a.Instance {
+		if previous.Instance != a.Instance {
 			g.targetConns.CloseIdle()
 		}
 		g.options.Logger.Info("target announced", "instance", a.Instance, "born", a.StartedAt,
@@ -209,12 +220,14 @@
 }
 
 // isOpen reports whether the gate admits requests. The caller holds mu.
-func (g *Gate) isOpen() bool { return g.target.isOpen() && !g.isDraining && !g.isRecovering }
+func (g *Gate) isOpen(now time.Time) bool {
+	return g.target.isOpen() && !g.isDraining && !g.isRecovering && !g.isDoubted(now)
+}
 
 // describeAdmission returns the log value that says whether the gate admits
 // requests. The caller holds mu.
 func (g *Gate) describeAdmission() string {
-	if g.isOpen() {
+	if g.isOpen(time.Now()) {
 		return "open"
 	}
 	return "closed"
@@ -239,7 +252,7 @@
 // buildState is State for callers that hold mu.
 func (g *Gate) buildState(now time.Time) hopheader.GateState {
 	s := hopheader.GateState{
-		Accepting:   g.isOpen(),
+		Accepting:   g.isOpen(now),
 		Suspected:   g.target.breaker.IsSuspected(now),
 		Outstanding: g.target.inFlight + g.queueLength(),
 		Slots:       g.target.announced.Slots,
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -18,6 +18,7 @@
 	// lastAnnouncedAt is when the current incarnation last announced itself. If
 	// only its deregistration is known, it is the time of that.
 	lastAnnouncedAt time.Time
+	regularity      regularity
 	// pendingAnnouncement is the last announcement of an incarnation that seems to be
 	// older than the current one, but may be a new one whose clock is behind.
 	pendingAnnouncement Announcement
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -297,7 +297,7 @@
 // views differ, both nodes send each other the records in the buckets that
 // differ. It reports whether the exchange is complete.
 func (g *Gossiper) compareWith(ctx context.Context, peer Record) bool {
-	request := Message{Sender: g.self(), Digest: g.view.Digest(), IsUndiscovered: !g.view.IsDiscovered()}
+	request := g.withKnowledge(Message{Sender: g.self(), Digest: g.view.Digest()})
 	request.EvidenceDigest = g.evidence.Digest(time.Now())
 	request.ConfigurationVersion, request.ConfigurationHolder = g.newestKnownVersion()
 	var reply Message
@@ -309,12 +309,16 @@
 	if !g.exchangeRecords(ctx, peer, reply.BucketDigests) {
 		return false
 	}
-	if !reply.IsUndiscovered {
-		g.view.SetDiscovered()
-	}
+	g.view.learnFrom(reply)
 	return true
 }
 
+// withKnowledge returns the message with what the own view lacks.
+func (g *Gossiper) withKnowledge(m Message) Message {
+	m.IsUndiscovered, m.IsNewcomer = !g.view.IsDiscovered(), !g.view.IsWitness()
+	return m
+}
+
 // exchangeRecords sends the records in the buckets that differ from those of a peer, which
 // sends its own. It reports whether the views then hold the same. Without digests they do.
 func (g *Gossiper) exchangeRecords(ctx context.Context, peer Record, bucketDigests []uint64) bool {
@@ -322,7 +326,7 @@
 		return true
 	}
 	digests := g.view.BucketDigests(len(bucketDigests))
-	push := Message{Sender: g.self(), BucketCount: len(digests), IsUndiscovered: !g.view.IsDiscovered()}
+	push := g.withKnowledge(Message{Sender: g.self(), BucketCount: len(digests)})
 	for i := range digests {
 		if digests[i] != bucketDigests[i] {
 			push.WantedBuckets = append(push.WantedBuckets, i)
--- a/process/membership/message.go
+++ b/process/membership/message.go
@@ -21,9 +21,10 @@
 	// means the sender itself.
 	ConfigurationVersion uint64 `codec:"v,omitempty"`
 	ConfigurationHolder  string `codec:"h,omitempty"`
-	// IsUndiscovered means that the view of the sender is not discovered. It is set in
-	// comparisons.
+	// IsUndiscovered and IsNewcomer mean that the view of the sender is not discovered, and
+	// that the sender is no witness. They are set in comparisons.
 	IsUndiscovered bool `codec:"g,omitempty"`
+	IsNewcomer     bool `codec:"j,omitempty"`
 	// BucketDigests is the result of View.BucketDigests for the sender's view. It
 	// is sent when the digests of the views differ.
 	BucketDigests []uint64 `codec:"b,omitempty"`
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -25,12 +25,12 @@
 	if request.EvidenceDigest != reply.EvidenceDigest {
 		reply.Evidence = g.evidence.Records(now)
 	}
-	reply.Digest, reply.IsUndiscovered = g.view.Digest(), !g.view.IsDiscovered()
-	switch {
-	case request.Digest != reply.Digest:
+	*reply = g.withKnowledge(*reply)
+	reply.Digest = g.view.Digest()
+	if request.Digest != reply.Digest {
 		reply.BucketDigests = g.view.BucketDigests(bucketCount(g.view.Len()))
-	case !request.IsUndiscovered:
-		g.view.SetDiscovered()
+	} else {
+		g.view.learnFrom(request)
 	}
 	return nil
 }
@@ -58,9 +58,9 @@
 	}
 	g.Merge(request.Records)
 	g.evidence.Merge(request.Evidence, now)
-	if request.BucketCount > 0 && !request.IsUndiscovered {
+	if request.BucketCount > 0 {
 		// A comparison sends all records in which the views differ.
-		g.view.SetDiscovered()
+		g.view.learnFrom(request)
 	}
 	reply.Records = wanted
 	return nil
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -21,13 +21,13 @@
 	onOwnRecord func(departures string)
 	// sorted is the result of Nodes; nil if the view has changed since.
 	sorted []Record
-	// discovered is the result of Discovered.
-	discovered chan struct{}
+	// discovered is the result of Discovered, and witness that of Witness.
+	discovered, witness chan struct{}
 }
 
 // NewView returns a view that holds only the node's own record.
 func NewView(self Record) *View {
-	v := &View{self: self, records: map[string]Record{}, countByService: map[string]int{}, discovered: make(chan struct{})}
+	v := &View{self: self, records: map[string]Record{}, countByService: map[string]int{}, discovered: make(chan struct{}), witness: make(chan struct{})}
 	v.put(self)
 	return v
 }
@@ -102,9 +102,11 @@
 // IsDiscovered reports whether the view has been filled with the records of the fleet: from
 // the store, or from a node whose view had been. Until then it may lack any node, so that
 // the node must not take those that it knows, or itself alone, for the whole fleet.
-func (v *View) IsDiscovered() bool {
+func (v *View) IsDiscovered() bool { return isClosed(v.discovered) }
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-v.discovered:
+	case <-c:
 		return true
 	default:
 		return false
@@ -123,6 +125,33 @@
 	}
 }
 
+// IsWitness reports whether the node knows what other nodes have held: since the fleet first
+// started, or from another witness. After all nodes have been killed there is none, and what
+// only nodes held is forgotten.
+func (v *View) IsWitness() bool { return isClosed(v.witness) }
+
+// Witness returns a channel that is closed when the node becomes a witness.
+func (v *View) Witness() <-chan struct{} { return v.witness }
+
+// SetWitness records that the node is a witness.
+func (v *View) SetWitness() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.IsWitness() {
+		close(v.witness)
+	}
+}
+
+// learnFrom records that the view holds all that the view of the sender of a message does.
+func (v *View) learnFrom(m Message) {
+	if !m.IsUndiscovered {
+		v.SetDiscovered()
+	}
+	if !m.IsNewcomer {
+		v.SetWitness()
+	}
+}
+
 // Leave marks the node's own record as gone and returns it.
 func (v *View) Leave() Record {
 	v.mu.Lock()
--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,9 +16,15 @@
 	// holdTimeout limits how long a target waits for the confirmation of its leave. It
 	// gives up a call after a second.
 	holdTimeout = 700 * time.Millisecond
-	// holderPatience is how long the store and the other nodes may take before a leave that
-	// only some of them hold is confirmed.
+	// holderPatience is how long the other nodes may take before a leave that the store
+	// holds is confirmed without them.
 	holderPatience = 300 * time.Millisecond
+	// storePatience is how long the store may take before a leave that only other nodes hold
+	// is confirmed. They may all be killed, but announcements from before the leave have
+	// arrived by then.
+	storePatience = 5 * time.Second
+	// storeAttemptTimeout limits an attempt to write a leave to the store.
+	storeAttemptTimeout = 1500 * time.Millisecond
 	// recoveryTimeout is how long a restarted gate stays closed at most while it cannot
 	// learn from others which leaves it has confirmed.
 	recoveryTimeout = 5 * time.Second
@@ -35,7 +42,7 @@
 )
 
 // target handles the calls of the target beside the node. It confirms that the target
-// leaves only once a process other than this one holds that, since this one may be killed.
+// leaves only once the store holds that, since any process may be killed.
 type target struct {
 	node *Node
 	// ctx ends when the node stops.
@@ -45,6 +52,13 @@
 	holding sync.Mutex
 	// held is the value of Record.Departures that others hold.
 	held string
+	// wanted is the one that they should hold, since wantedAt. stored is closed when the store
+	// does.
+	wanted   string
+	wantedAt time.Time
+	stored   <-chan struct{}
+	// called receives a value with each call of hold.
+	called chan struct{}
 }
 
 // Announce passes an announcement to the gate.
@@ -77,8 +91,8 @@
 
 func (t *target) departures() string { return membership.FormatDepartures(t.node.gate.Departures()) }
 
-// hold returns once the store or other nodes hold the departures that the gate knows.
-// Otherwise it returns gate.ErrNotHeld.
+// hold returns once others hold the departures that the gate knows: the store, or if that has
+// not taken them for storePatience, other nodes. Otherwise it returns gate.ErrNotHeld.
 func (t *target) hold() error {
 	t.holding.Lock()
 	defer t.holding.Unlock()
@@ -88,25 +102,56 @@
 	}
 	start := time.Now()
 	self := t.node.view.SetDepartures(departures)
+	if departures != t.wanted {
+		t.wanted, t.wantedAt, t.stored = departures, start, t.storeInBackground()
+	}
+	select {
+	case t.called <- struct{}{}:
+	default:
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, holdTimeout)
 	defer cancel()
-	stored, told := make(chan bool, 1), make(chan int, 1)
-	go func() { stored <- t.store(ctx) }()
+	told := make(chan int, 1)
 	go func() { told <- t.node.gossiper.PushAndWait(ctx, self) }()
-	isStored, holders := awaitHolder(stored, told)
-	afterMillis := time.Since(start).Milliseconds()
-	if !isStored && holders == 0 {
-		t.node.logger.Warn("leave of the target not confirmed: no other process holds it", "departures", departures, "after_ms", afterMillis)
+	// A node that is gone has no record at the store.
+	nodesSuffice := self.Gone || start.Sub(t.wantedAt) >= storePatience
+	isStored, holders := awaitHolder(t.stored, told, nodesSuffice)
+	log := t.node.logger.With("departures", departures, "stored", isStored, "nodes", holders,
+		"after_ms", time.Since(start).Milliseconds(), "wanted_ms", time.Since(t.wantedAt).Milliseconds())
+	if !isStored && (holders == 0 || !nodesSuffice) {
+		log.Warn("leave of the target not confirmed: the store does not hold it")
 		return gate.ErrNotHeld
 	}
-	t.node.logger.Info("leave of the target held by others", "departures", departures, "stored", isStored, "nodes", holders, "after_ms", afterMillis)
+	log.Info("leave of the target held by others")
 	t.held = departures
-	if !isStored && !self.Gone {
-		go retry(t.ctx, func() bool { return t.store(t.ctx) })
-	}
 	return nil
 }
 
+// storeInBackground writes the record of the node until the store has it. The channel is
+// closed then. Each call of the target is a reason to try at once.
+func (t *target) storeInBackground() <-chan struct{} {
+	stored := make(chan struct{})
+	go func() {
+		delay := minRetryDelay
+		for t.ctx.Err() == nil && !t.node.view.Self().Gone {
+			ctx, cancel := context.WithTimeout(t.ctx, storeAttemptTimeout)
+			isStored := t.store(ctx)
+			cancel()
+			if isStored {
+				close(stored)
+				return
+			}
+			select {
+			case <-t.ctx.Done():
+			case <-t.called:
+			case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(delay))):
+				delay = min(2*delay, maxRetryDelay)
+			}
+		}
+	}()
+	return stored
+}
+
 // store writes the record of the node and reports whether the store has it. A node that has
 // left for good has none there. A node that has restarted reads its former record first,
 // which would be overwritten otherwise.
@@ -119,26 +164,27 @@
 }
 
 // awaitHolder waits until it is known whether the store and other nodes hold a record, or
-// after holderPatience until one of them does. stored and told deliver one result each:
-// whether the store has the record, and how many nodes do. Both are wanted, since a gate that
-// restarts may reach only one of them.
-func awaitHolder(stored <-chan bool, told <-chan int) (isStored bool, holders int) {
-	late := time.After(holderPatience)
+// after holderPatience until one of them does, for holdTimeout at most. Other nodes alone count
+// only if nodesSuffice. stored is closed when the store has the record, and told delivers how
+// many nodes do. Both are wanted, since a gate that restarts may reach only one of them.
+func awaitHolder(stored <-chan struct{}, told <-chan int, nodesSuffice bool) (isStored bool, holders int) {
+	late, timeout := time.After(holderPatience), time.After(holdTimeout)
 	isLate := false
-	for stored != nil || told != nil {
+	for {
+		if isStored && (told == nil || isLate) || isLate && nodesSuffice && holders > 0 {
+			return isStored, holders
+		}
 		select {
-		case isStored = <-stored:
-			stored = nil
+		case <-stored:
+			isStored, stored = true, nil
 		case holders = <-told:
 			told = nil
 		case <-late:
 			isLate = true
-		}
-		if isLate && (isStored || holders > 0) {
+		case <-timeout:
 			return isStored, holders
 		}
 	}
-	return isStored, holders
 }
 
 // learnDepartures passes what others hold of the node's target to the gate.
@@ -159,11 +205,42 @@
 			sleep(ctx, recoveryInterval)
 		}
 	}
+	// Without another node nobody but the store can have held a leave.
+	isCertain := n.view.IsWitness() || learnedFrom == learnedFromStore && n.wasRegistered.Load()
+	if isCertain {
+		n.view.SetWitness()
+	} else {
+		n.gate.BeginDoubt()
+	}
 	n.gate.EndRecovery()
-	n.logger.Info("gate may open", "learned_from", cmp.Or(learnedFrom, "nobody"), "stored", n.hasReadNodes.Load(),
+	n.logger.Info("gate may open", "learned_from", cmp.Or(learnedFrom, "nobody"), "certain", isCertain, "stored", n.hasReadNodes.Load(),
 		"departures", n.view.Self().Departures, "after_ms", time.Since(n.startedAt).Milliseconds())
+	if !isCertain {
+		n.awaitWitness(ctx)
+	}
 }
 
+// newcomerTime is how long a node has to run to be a witness without having compared views
+// with one: announcements from before its start have arrived by then.
+const newcomerTime = 15 * time.Second
+
+// awaitWitness ends the doubts of the gate once the node knows what others have held. After
+// newcomerTime the node counts as a witness in any case.
+func (n *Node) awaitWitness(ctx context.Context) {
+	timer := time.NewTimer(time.Until(n.startedAt.Add(newcomerTime)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+		n.view.SetWitness()
+	case <-n.view.Witness():
+		n.gate.EndDoubt()
+	}
+}
+
+// learnedFromStore is the result of askForDepartures if there is no other node to ask.
+const learnedFromStore = "store"
+
 // askForDepartures makes one attempt to learn which leaves the gate confirmed before. It
 // returns who has told, or "".
 func (n *Node) askForDepartures(ctx context.Context) string {
@@ -171,7 +248,7 @@
 	elapsed := time.Since(n.startedAt)
 	switch {
 	case isStoreDone && isAlone && (n.wasRegistered.Load() || elapsed >= emptyStorePatience):
-		return "store"
+		return learnedFromStore
 	case !isStoreDone && elapsed < recoveryPatience:
 		return ""
 	}
--- a/process/node/doc.go
+++ b/process/node/doc.go
@@ -4,9 +4,8 @@
 // A node goes through these states:
 //
 //   - starting: all addresses are open, but the node reports that it isn't ready
-//     until it knows a configuration and has read the records of other nodes from
-//     the store or learned of one by gossip. After discoveryTimeout it no longer
-//     waits for other nodes, since it may be the only one.
+//     until it knows a configuration and has discovered the other nodes: from
+//     their records in the store, or from a node that has.
 //   - serving: the node reports that it is ready. The entry serves callers and the
 //     gate serves entries.
 //   - leaving: the node reports that it isn't ready. New requests are served for
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -148,6 +148,9 @@
 		Incarnation: time.Now().UnixMilli(),
 	})
 	n.view.WithOwnRecordHandler(n.learnDepartures)
+	if s.Bootstrap {
+		n.view.SetWitness()
+	}
 	n.quarantine = quarantine.NewTable(n.logger.Named("quarantine"))
 	pool, closePool := peerrpc.NewPool()
 	n.cleanups = append(n.cleanups, closePool)
@@ -160,10 +163,11 @@
 		Service: s.Service, Address: s.Target, Headers: n.platform.Headers, Logger: n.logger.Named("gate"),
 		Meter: n.meter, Quarantine: n.quarantine, Bodies: n.bodies, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		GateCount: n.gateCount, IsTrialGate: n.isTrialGate, ShutdownDeadline: n.shutdownDeadline, Recovering: !s.Bootstrap, OnProbe: n.recordProber,
-		Modes: func() configuration.Modes { return n.configuration.Configuration().Modes() },
+		AnnouncementInterval: s.AnnouncementInterval,
+		Modes:                func() configuration.Modes { return n.configuration.Configuration().Modes() },
 	})
 	n.gate = g
-	n.target = &target{node: n, ctx: ctx}
+	n.target = &target{node: n, ctx: ctx, called: make(chan struct{}, 1)}
 	n.cleanups = append(n.cleanups, closeGate)
 	e, closeEntry := entry.New(entry.Options{
 		Service: s.Service, Node: n.view.Self().ControlAddress, Contacts: &n.contacts, DataCentre: s.DataCentre, Region: s.Region, Nodes: n.view, Configurations: n.configuration,
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -44,6 +44,8 @@
 	Store string
 	// GracePeriod is how long the process may run after SIGTERM.
 	GracePeriod time.Duration `json:"Grace"`
+	// AnnouncementInterval is the time between two announcements of the target.
+	AnnouncementInterval time.Duration
 	// RetryRatio, RetrySlack and RetryWindow limit the retries of the whole fleet
 	// to a service: in each window, RetryRatio times the service's requests plus
 	// RetrySlack.
@@ -59,10 +61,11 @@
 
 // Default values of optional settings.
 const (
-	DefaultGracePeriod = 30 * time.Second
-	DefaultRetryRatio  = 0.2
-	DefaultRetrySlack  = 60
-	DefaultRetryWindow = 10 * time.Second
+	DefaultGracePeriod          = 30 * time.Second
+	DefaultAnnouncementInterval = 1500 * time.Millisecond
+	DefaultRetryRatio           = 0.2
+	DefaultRetrySlack           = 60
+	DefaultRetryWindow          = 10 * time.Second
 )
 
 // Violation describes one invalid setting.
@@ -130,6 +133,9 @@
 	if s.GracePeriod <= 0 {
 		add("grace", "set a duration above 0")
 	}
+	if s.AnnouncementInterval <= 0 {
+		add("announcement-interval", "set a duration above 0")
+	}
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		add("retry-ratio", "set a number from 0 to 1")
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 
 	"github.com/cuminwheel/cuminwheel/standin/caller"
 	"github.com/cuminwheel/cuminwheel/standin/link"
+	"github.com/cuminwheel/cuminwheel/standin/target"
 	"github.com/cuminwheel/cuminwheel/version/configuration"
 	"github.com/go-faster/errors"
 )
@@ -251,7 +252,7 @@
 		"--reached-gate", f.address(i, portGateLink), "--reached-control", f.address(i, portControlLink),
 		"--admin", f.address(i, portAdmin), "--ready", f.address(i, portReady), "--metrics", f.address(i, portMetrics),
 		"--target", f.address(i, portTarget), "--service", f.serviceOf(i), "--store", f.address(i, portStoreLink),
-		"--region", f.regionOf(i), "--data-centre", fmt.Sprintf("d%d", i/2), "--grace", grace.String()))
+		"--region", f.regionOf(i), "--data-centre", fmt.Sprintf("d%d", i/2), "--grace", grace.String(), "--announcement-interval", target.AnnounceInterval.String()))
 	f.targets = append(f.targets, f.newProcess(fmt.Sprintf("target%d", i), "standin", "target",
 		"--listen", f.address(i, portTarget), "--admin", f.address(i, portAdmin), "--service", f.serviceOf(i),
 		"--drain", drainTime.String(), "--late-announcement", lateAnnouncement.String(), "--ran-file", f.executionFile(i)))
