standin, cmd: a response with the status 000 is no answer for the checkers either

net/http reads a status of any three digits. The stand-in caller, and with it the soak and the node tests, counted a response with the status 000 as an answered error of the target, so that a node that passed one on would not have been noticed; cuminwheel status printed the body of any response as that of a node. The caller counts a status outside of 100 to 599 as invalid, and status wants 200.

--- a/cmd/cuminwheel/status.go
+++ b/cmd/cuminwheel/status.go
@@ -27,6 +27,9 @@
 				return errors.Wrap(err, "request node status")
 			}
 			defer res.Body.Close()
+			if res.StatusCode != http.StatusOK {
+				return errors.Errorf("the node responded with status %03d; check that %s is its metrics address", res.StatusCode, c.String("metrics"))
+			}
 			_, err = io.Copy(c.Root().Writer, res.Body)
 			return err
 		},
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -265,6 +265,8 @@
 	}
 	code := res.Header.Get(outcome.HeaderCode)
 	switch {
+	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
+		g.report.Invalid++
 	case code == "" && res.StatusCode != http.StatusOK:
 		g.report.Errors++
 		result.isAnswered = true
@@ -285,6 +287,10 @@
 	}
 }
 
+// minStatus and maxStatus bound the status of an HTTP response (RFC 9110 15). net/http reads
+// any three digits.
+const minStatus, maxStatus = 100, 599
+
 // notRunStatuses are the statuses with which a node guarantees that the request did not
 // run.
 var notRunStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -31,7 +31,8 @@
 	Returns int `json:"returns"`
 	// NotSent counts requests that would have exceeded Workload.MaxInFlight.
 	NotSent int `json:"not_sent"`
-	// Invalid counts responses that were truncated or belonged to another request.
+	// Invalid counts responses that were truncated, belonged to another request or had no
+	// status of HTTP.
 	Invalid int `json:"foreign"`
 	// Codes counts refusals and failures by their outcome code.
 	Codes map[string]int `json:"codes"`
