membership, node, quota: a restarted node discovers the fleet soon, and keeps what its buckets earn meanwhile

Cause: the records of nodes were asked for again after a delay that had grown during the outage; a node that others had called waited for its regular comparison; and the buckets were filled from the discovery on.

Change: a configuration that arrives is a reason to read the records at once; an undiscovered node compares its view with nodes that call it and with those that it knows, 0.1 to 1 s apart; buckets are filled from the start of the node, or from takeoverDelay before a late discovery, since another node may have granted in its place.

Tests: membership.TestDiscoveryIsSoon and node.TestRetryWhenChanged do not compile before. quota.TestRuleHoldsWhileNodesAreUndiscovered holds (300 schedules).

--- a/process/membership/discovery_test.go
+++ b/process/membership/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cuminwheel/cuminwheel/process/quarantine"
 	"github.com/hashicorp/go-hclog"
@@ -54,3 +56,44 @@
 		})
 	}
 }
+
+// Guards against nodes that serve no customer for seconds after a restart, although others
+// have called them: each is asked at once, and a node that knows one asks before the regular
+// comparison.
+func TestDiscoveryIsSoon(t *testing.T) {
+	tests := []struct {
+		name string
+		// isCalled means that the other node calls; otherwise the node knows it.
+		isCalled bool
+		within   time.Duration
+	}{
+		{"called", true, 0},
+		{"knows another node", false, 110 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fleet{receivers: map[string]*Receiver{}}
+				var gossipers []*Gossiper
+				for i := range 2 {
+					r := newRecord(i, 1)
+					g := NewGossiper(NewView(r), &fakeConfigurations{changed: make(chan struct{})}, quarantine.NewTable(hclog.NewNullLogger()), f, hclog.NewNullLogger())
+					gossipers, f.receivers[r.ControlAddress] = append(gossipers, g), NewReceiver(g)
+				}
+				gossipers[1].view.SetDiscovered()
+				if !test.isCalled {
+					gossipers[0].view.Merge([]Record{newRecord(1, 1)})
+				}
+				go gossipers[0].Run(t.Context())
+				start := time.Now()
+				if test.isCalled {
+					is.NoErr(f.receivers[newRecord(0, 1).ControlAddress].Tell(Message{Sender: newRecord(1, 1).ControlAddress}, &Message{}))
+				}
+				<-gossipers[0].view.Discovered()
+				is.True(time.Since(start) <= test.within)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -85,6 +85,8 @@
 	logger         hclog.Logger
 	// pushQueue holds updates until Run pushes them.
 	pushQueue chan []Record
+	// callers are nodes that have called while the fleet is not discovered.
+	callers chan string
 	// fetchRequests wakes fetchNewerConfigurations.
 	fetchRequests chan struct{}
 	compressed    compressedVersion
@@ -127,7 +129,7 @@
 // NewGossiper returns a gossiper for the records of a view.
 func NewGossiper(v *View, c Configurations, e Evidence, t Transport, logger hclog.Logger) *Gossiper {
 	return &Gossiper{
-		view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1),
+		view: v, configurations: c, evidence: e, transport: t, logger: logger, pushQueue: make(chan []Record, 64), fetchRequests: make(chan struct{}, 1), callers: make(chan string, maxCallers),
 		unreachable: map[string]time.Time{}, dutyChanged: make(chan struct{}), treeIsStale: true,
 	}
 }
@@ -138,6 +140,7 @@
 	go g.fetchNewerConfigurations(ctx)
 	go g.announceVersions(ctx)
 	go g.watchReaders(ctx)
+	go g.discover(ctx)
 	for {
 		wait := time.Duration((0.5 + rand.Float64()) * float64(compareInterval))
 		select {
--- a/process/membership/receiver.go
+++ b/process/membership/receiver.go
@@ -18,6 +18,7 @@
 	g := r.gossiper
 	request = request.checked()
 	g.recordContact(request.Sender, true, time.Now())
+	g.recordCaller(request.Sender)
 	g.recordRemoteVersion(cmp.Or(request.ConfigurationHolder, request.Sender), request.ConfigurationVersion)
 	reply.ConfigurationVersion, reply.ConfigurationHolder = g.newestKnownVersion()
 	now := time.Now()
@@ -44,6 +45,7 @@
 	request = request.checked()
 	now := time.Now()
 	g.recordContact(request.Sender, true, now)
+	g.recordCaller(request.Sender)
 	if !request.WantsReaders {
 		g.recordReaders(request, now)
 	}
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -26,7 +26,8 @@
 func (n *Node) join(ctx context.Context) {
 	if !n.settings.Bootstrap {
 		asksContacts := false
-		retry(ctx, func() bool {
+		// A configuration may have come from a store that is back.
+		retryWhen(ctx, n.configuration.Changed, func() bool {
 			if n.readNodes(ctx) {
 				return true
 			}
@@ -137,10 +138,24 @@
 // retry calls call, with exponential backoff and jitter between the attempts, until
 // it succeeds or ctx ends.
 func retry(ctx context.Context, call func() bool) {
+	retryWhen(ctx, func() <-chan struct{} { return nil }, call)
+}
+
+// retryWhen is retry that also calls when the channel is closed that changed returned before
+// the last attempt, without a delay.
+func retryWhen(ctx context.Context, changed func() <-chan struct{}, call func() bool) {
 	delay := minRetryDelay
-	for ctx.Err() == nil && !call() {
-		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(delay)))
-		delay = min(maxRetryDelay, 2*delay)
+	for ctx.Err() == nil {
+		isChanged := changed()
+		if call() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-isChanged:
+		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(delay))):
+			delay = min(maxRetryDelay, 2*delay)
+		}
 	}
 }
 
--- a/process/quota/benchmark_test.go
+++ b/process/quota/benchmark_test.go
@@ -22,7 +22,7 @@
 func homeWithCustomers(count int) (*Home, []customer.Customer) {
 	view := &localNodes{version: 1, nodes: []membership.Record{{ControlAddress: "a"}}}
 	h := NewHome("a", view, noNetwork{})
-	h.discoveredAt = time.Now().Add(-time.Hour)
+	h.homeFrom = time.Now().Add(-time.Hour)
 	customers := make([]customer.Customer, count)
 	for i := range customers {
 		customers[i] = customer.Customer{Name: fmt.Sprint("customer-", i), RequestsPerSecond: 1e9, Burst: 1e9}
--- a/process/quota/handover.go
+++ b/process/quota/handover.go
@@ -94,7 +94,7 @@
 	case a.movedUntil.After(now) && a.movedTo != request.NewHome:
 		return TakeReply{MovedTo: a.movedTo}
 	case a.since.IsZero() && h.wasHome(a.candidates, request.NewHome, now):
-		a.since = homeSince(request.Name, h.self, h.discoveredAt, h.removals)
+		a.since = homeSince(request.Name, h.self, h.homeFrom, h.removals)
 		a.bucket.at = a.since
 	case !a.since.IsZero() && outranks(request.Name, h.self, request.NewHome):
 		return TakeReply{MovedTo: h.self}
--- a/process/quota/home.go
+++ b/process/quota/home.go
@@ -51,12 +51,14 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// discoveredAt is from when the node may be the home of a customer: when it discovered
-	// the fleet. A node that does not know the others would find itself to be the home of
-	// all customers.
-	discoveredAt time.Time
+	// isDiscovered means that the node has discovered the fleet. A node that does not know
+	// the others would find itself to be the home of all customers.
+	isDiscovered bool
+	// homeFrom is from when the node fills the buckets of its customers: its start, unless it
+	// has discovered the fleet so late that another node may have granted in its place.
+	homeFrom time.Time
 	// viewVersion, known and removals follow the changes of the nodes. known holds when
-	// the node learned of another one; zero for those that it knew at discoveredAt.
+	// the node learned of another one; zero for those that it knew at its discovery.
 	viewVersion uint64
 	known       map[string]time.Time
 	removals    []removal
@@ -84,7 +86,7 @@
 // NewHome returns a home without state.
 func NewHome(self string, nodes Nodes, t Transport) *Home {
 	h := &Home{
-		self: self, nodes: nodes, transport: t,
+		self: self, nodes: nodes, transport: t, homeFrom: time.Now(),
 		accounts: map[string]*account{}}
 	h.probes = prober{call: h.call, contacts: contacts{}}
 	h.outages = outageTable{home: h, byAddress: map[string]*outage{}}
@@ -132,7 +134,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.followNodes(now)
-	if h.discoveredAt.IsZero() {
+	if !h.isDiscovered {
 		h.mu.Unlock()
 		// It has no bucket for a new home either.
 		return TakeReply{NotHome: request.NewHome == ""}
@@ -155,7 +157,7 @@
 		request.Forwarded = true
 		return h.forward(to, request)
 	case rank == 0:
-		since := homeSince(request.Name, h.self, h.discoveredAt, h.removals)
+		since := homeSince(request.Name, h.self, h.homeFrom, h.removals)
 		h.mu.Unlock()
 		return h.takeAsHome(request, order, since)
 	}
@@ -254,11 +256,14 @@
 
 // followNodes records the nodes that left since the last call. The caller holds mu.
 func (h *Home) followNodes(now time.Time) {
-	if h.discoveredAt.IsZero() {
+	if !h.isDiscovered {
 		if !h.nodes.IsDiscovered() {
 			return
 		}
-		h.discoveredAt = now
+		h.isDiscovered = true
+		if from := now.Add(-takeoverDelay); from.After(h.homeFrom) {
+			h.homeFrom = from
+		}
 	}
 	version := h.nodes.Version()
 	if version == h.viewVersion {
