--- a/process/membership/doc.go
+++ b/process/membership/doc.go
@@ -10,10 +10,10 @@
 // Nodes discover each other through the platform's store: each writes its
 // record and reads the others' once when it starts, and writes it again when the
 // store has lost records. A view is discovered once it has been filled from there, or from
-// a node whose view is. From the start on a Gossiper spreads records from node to
-// node. Records that are new to a node are pushed at once to a few random nodes, and each node regularly compares a digest of
-// its view with that of a random node, mostly one of its own region, since
-// traffic between regions is billed.
+// a node whose view is (discovery.go). From the start on a Gossiper spreads records from
+// node to node. Records that are new to a node are pushed at once to a few random nodes, and
+// each node regularly compares a digest of its view with that of a random node, mostly one
+// of its own region, since traffic between regions is billed.
 //
 // The same calls carry configurations: the Gossiper applies the decisions of package
 // distribution on who reads the store (readers.go), tells and asks whom (versions.go), and
