node: a server that is stopped at once releases its address

Cause: a server of net/http closes its listener only if it has begun to accept. The clean-up of serveHTTP returned before that if the node was stopped right after its start, and the next process or, in the test, the next node found the address in use.

Change: the clean-up closes the listener too. node.TestStoppedServerReleasesItsAddress failed before (3 of 3 runs) and holds (5 of 5).

--- a/process/node/http.go
+++ b/process/node/http.go
@@ -134,5 +134,8 @@
 		MaxHeaderBytes: maxHTTPHeaderBytes, BaseContext: func(net.Listener) context.Context { return context.Background() },
 	}
 	go s.Serve(l)
-	return func() { s.Close() }, nil
+	return func() {
+		s.Close()
+		l.Close() // the server does not know it yet if it has just been started
+	}, nil
 }
