--- a/process/gate/doc.go
+++ b/process/gate/doc.go
@@ -32,6 +32,10 @@
 // its kind. What a target has said about itself is reported to entries, which return it
 // with their requests, so that it outlives a restart of the gate (notice.go).
 //
+// A gate that has restarted, and that no node could tell which leaves it had confirmed before,
+// doubts a target that is older than itself: the target gets requests only while it announces
+// itself regularly, until that has proved that it is running (doubt.go).
+//
 // # Requests
 //
 // Serve handles a request in these steps. admit refuses it, queues it or grants
