membership: a newer record takes no departure of an older one away

What callers saw: with three of four nodes killed after a leave that only nodes held, the target got requests again although the fourth node held its leave.

Cause, by the log: the gate's node read the store, which had its record from before the leave, and gave its new record to a newcomer, which passed it on. At the spared node it replaced the former record and the departure with it. Only a record that comes from the node itself was answered with the former one.

Change: where two records of a node meet, the newer one gets the last departure of the older one if it lacks that (Record.join). Copies of one record that differ by that are ordered by their departures, so that views converge; the node learns of them with the next comparison.

Replaced check: TestSenderIsToldItsDepartures asked that a holder knows a departure no more once the sender's second record without it has arrived. That is the fault; it now asks that it is told until the sender lists it.

Tests: membership.TestRecordThroughAnotherNodeKeepsDepartures and TestDeparturesConverge failed before (the latter holds in 20,000 schedules). spec/leave.pml: 1656 states; the way of before is variant NAIVE_REPLACE, which is found wrong.

--- a/process/membership/doc.go
+++ b/process/membership/doc.go
@@ -5,7 +5,7 @@
 // for good; it is then kept with Gone set, so that older records of the node
 // which still circulate don't bring it back. Of two records of one address the
 // one with the higher Incarnation supersedes the other; if these are equal, the
-// one with Gone set does.
+// one with Gone set does. Departures are kept in any case (Record.join).
 //
 // Nodes discover each other through the platform's store: each writes its
 // record and reads the others' once when it starts, and writes it again when the
--- a/process/membership/record.go
+++ b/process/membership/record.go
@@ -52,12 +52,33 @@
 	return c.Err()
 }
 
-// supersedes reports whether r replaces old, a record of the same address.
+// supersedes reports whether r replaces old, a record of the same address. Copies of one
+// record may differ in their departures, of which some have been added on the way; the order
+// of their texts makes all nodes keep the same one.
 func (r Record) supersedes(old Record) bool {
-	if r.Incarnation != old.Incarnation {
+	switch {
+	case r.Incarnation != old.Incarnation:
 		return r.Incarnation > old.Incarnation
+	case r.Gone != old.Gone:
+		return r.Gone
+	case len(r.Departures) != len(old.Departures):
+		return len(r.Departures) > len(old.Departures)
 	}
-	return r.Gone && !old.Gone
+	return r.Departures > old.Departures
+}
+
+// join returns what two records of one address tell together: the one that supersedes the
+// other, with the departures of the other if it lacks the last of them. The node has then
+// restarted and may not have learned of them yet.
+func (r Record) join(other Record) Record {
+	newer, older := r, other
+	if !r.supersedes(other) {
+		newer, older = other, r
+	}
+	if newer.lacksLastDeparture(older) {
+		newer.Departures = uniteDepartures(older.Departures, newer.Departures)
+	}
+	return newer
 }
 
 // digest returns a hash of all fields.
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -77,8 +77,10 @@
 			continue
 		}
 		old, known := v.records[r.ControlAddress]
-		if known && !r.supersedes(old) {
-			continue
+		if known {
+			if r = r.join(old); r == old {
+				continue
+			}
 		}
 		v.put(r)
 		updates = append(updates, r)
--- a/spec/leave.pml
+++ b/spec/leave.pml
@@ -2,7 +2,8 @@
  * How the leave of a target that a gate has confirmed outlives the gate's process.
  *
  * The leave is part of the record of the gate's node. The store and another node hold
- * copies of the record; a later record replaces an earlier one. The gate may be killed,
+ * copies of the record; a later record replaces an earlier one, also if it comes through a
+ * third node, but for the leave that it may lack. The gate may be killed,
  * after which its node begins with an empty record and the gate recovers: it admits
  * nothing until the other node, and the store unless it is away, have been asked. The other
  * node may be killed as well, also while the store is away, and then knows nothing. A node is
@@ -21,6 +22,7 @@
  *   NAIVE_OVERWRITE a node that has restarted writes its record before it has read the store
  *   NAIVE_REPLY     a node that gets a record without the leave does not return the former one
  *   NAIVE_OPEN      a gate that has restarted asks nobody
+ *   NAIVE_REPLACE   a later record replaces the other node's copy with the leave
  *   NAIVE_TRUST     a gate that has restarted believes any node, also one that has just started
  */
 #define KILLS 2
@@ -70,6 +72,11 @@
 	:: atomic { !storeAway && hasRead -> atStore = knows; check() }
 #endif
 	:: atomic { exchange(); check() }
+#ifdef NAIVE_REPLACE
+	:: atomic { atPeer = knows; check() } /* the record has come through a third node */
+#else
+	:: atomic { atPeer = atPeer || knows; check() }
+#endif
 #ifdef NAIVE_CONFIRM
 	:: atomic { knows -> confirmed = true; check() }
 #else
