--- a/cmd/cuminwheel/status_test.go
+++ b/cmd/cuminwheel/status_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"io"
-	"net"
 	"strings"
 	"testing"
 
@@ -23,10 +21,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			address, closeListener, err := rawpeer.Listen(func(c *net.TCPConn) {
-				// The command reports what it cannot read.
-				_, _ = io.WriteString(c, "HTTP/1.1 "+test.status+"\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
-			})
+			address, closeListener, err := rawpeer.ListenWith("HTTP/1.1 " + test.status + "\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
 			is.NoErr(err)
 			defer closeListener()
 			command := statusCommand()
--- a/process/gate/doubt.go
+++ b/process/gate/doubt.go
@@ -19,40 +19,31 @@
 	proofTime = 10 * time.Second
 )
 
-// regularity is how an incarnation of the target has announced itself. Gate.mu guards it.
+// regularity is how an incarnation of the target has announced itself; zero before its first
+// announcement. Gate.mu guards it.
 type regularity struct {
-	// at and sequence are those of the last regular announcement.
-	at       time.Time
-	sequence int64
-	// since is from when on the announcements have been regular; the start of the gate if
-	// they have been ever since. steadySince is the same for announcements at any pace.
-	since, steadySince time.Time
-	isProven           bool
+	// lastAt is the time of the last announcement, and steadySince is from when on there was
+	// no gap.
+	lastAt, steadySince time.Time
+	// at and sequence are those of the last regular announcement, and since is from when on
+	// there was no gap between regular ones; the start of the gate if there was none ever.
+	at, since time.Time
+	sequence  int64
+	isProven  bool
 }
 
-// newRegularity returns the regularity after the first announcement, at a gate that started
-// at startedAt.
-func newRegularity(startedAt, now time.Time, sequence int64, maxGap time.Duration) regularity {
-	r := regularity{at: now, sequence: sequence, since: startedAt, steadySince: now}
-	if now.Sub(startedAt) > maxGap {
-		r.since = now
-	}
-	return r
-}
-
-// with returns the regularity after another announcement; lastAt is the time of the one
-// before it. Announcements that come faster than a target sends them have been held up on
-// their way, and are not regular.
-func (r regularity) with(now, lastAt time.Time, sequence int64, interval time.Duration) regularity {
-	maxGap := time.Duration(gapFactor * float64(interval))
-	if now.Sub(lastAt) > maxGap {
+// with returns the regularity after another announcement. Announcements that come faster than
+// a target sends them have been held up on their way, and are not regular.
+func (r regularity) with(now time.Time, sequence int64, interval time.Duration) regularity {
+	if now.Sub(r.lastAt) > maxGap(interval) {
 		r.steadySince = now
 	}
+	r.lastAt = now
 	r.isProven = r.isProven || now.Sub(r.steadySince) >= proofTime
 	if now.Sub(r.at) < time.Duration(paceFactor*float64(interval)*float64(sequence-r.sequence)) {
 		return r
 	}
-	if now.Sub(r.at) > maxGap {
+	if now.Sub(r.at) > maxGap(interval) {
 		r.since = now
 	}
 	r.at, r.sequence = now, sequence
@@ -60,8 +51,8 @@
 }
 
 // maxGap returns the longest time between two regular announcements.
-func (g *Gate) maxGap() time.Duration {
-	return time.Duration(gapFactor * float64(g.options.AnnouncementInterval))
+func maxGap(interval time.Duration) time.Duration {
+	return time.Duration(gapFactor * float64(interval))
 }
 
 // isDoubted reports whether the target may have left before the gate started. The caller
@@ -73,21 +64,19 @@
 	if !g.hasDoubts || !t.isKnown || t.regularity.isProven || isYounger {
 		return false
 	}
-	if now.Sub(t.regularity.at) > g.maxGap() {
+	if now.Sub(t.regularity.at) > maxGap(g.options.AnnouncementInterval) {
 		return true
 	}
 	return t.regularity.since.After(g.startedAt) && now.Sub(t.regularity.since) < resumeTime
 }
 
-// recordRegularity notes an announcement of the target. lastAt is the time of the one
-// before it; zero if the incarnation is new. The caller holds mu.
-func (g *Gate) recordRegularity(now, lastAt time.Time) {
+// recordRegularity notes an announcement of the target. The caller holds mu.
+func (g *Gate) recordRegularity(now time.Time) {
 	t := &g.target
-	if lastAt.IsZero() {
-		t.regularity = newRegularity(g.startedAt, now, t.announced.Sequence, g.maxGap())
-	} else {
-		t.regularity = t.regularity.with(now, lastAt, t.announced.Sequence, g.options.AnnouncementInterval)
+	if t.regularity.lastAt.IsZero() {
+		t.regularity = regularity{at: g.startedAt, since: g.startedAt, sequence: t.announced.Sequence}
 	}
+	t.regularity = t.regularity.with(now, t.announced.Sequence, g.options.AnnouncementInterval)
 	if g.hasDoubts && !t.regularity.isProven {
 		g.watchDoubt(now)
 	}
@@ -99,7 +88,7 @@
 	if g.doubtTimer != nil {
 		g.doubtTimer.Stop()
 	}
-	g.doubtTimer = time.AfterFunc(time.Until(now.Add(g.maxGap()+timerResolution)), func() {
+	g.doubtTimer = time.AfterFunc(time.Until(now.Add(maxGap(g.options.AnnouncementInterval)+timerResolution)), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.isDoubted(time.Now()) {
--- a/process/gate/doubt_test.go
+++ b/process/gate/doubt_test.go
@@ -100,6 +100,6 @@
 		start := time.Now()
 		_, p = g.admit(t.Context(), requestWithin(time.Minute))
 		is.Equal(p.Code, outcome.CodeNoTarget)
-		is.Equal(time.Since(start), g.maxGap()+timerResolution)
+		is.Equal(time.Since(start), maxGap(g.options.AnnouncementInterval)+timerResolution)
 	})
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -153,19 +153,15 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	previous := g.target.announced
-	lastAt := g.target.lastAnnouncedAt
+	previousInstance := g.target.announced.Instance
 	changed, err := g.target.applyAnnouncement(a, now)
 	if err != nil {
 		return err
 	}
-	if a.identity() != previous.identity() {
-		lastAt = time.Time{}
-	}
-	g.recordRegularity(now, lastAt)
+	g.recordRegularity(now)
 	if changed {
 		g.startProbation()
-		if previous.Instance != a.Instance {
+		if previousInstance != a.Instance {
 			g.targetConns.CloseIdle()
 		}
 		g.options.Logger.Info("target announced", "instance", a.Instance, "born", a.StartedAt,
--- a/process/gate/shared.go
+++ b/process/gate/shared.go
@@ -196,7 +196,7 @@
 // the rest is checked when a request gets its slot. The caller holds mu.
 func (g *Gate) refuseInadmissible(now time.Time) {
 	isSuspected := g.target.breaker.IsSuspected(now)
-	isClosed := g.isDraining || !g.target.isKnown || !g.target.isOpen() || g.isDoubted(now) || !g.options.ShutdownDeadline().IsZero()
+	isClosed := !g.isOpen(now) || !g.options.ShutdownDeadline().IsZero()
 	if !isClosed && !isSuspected {
 		return
 	}
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -119,11 +119,14 @@
 func (v *View) Discovered() <-chan struct{} { return v.discovered }
 
 // SetDiscovered records that the view has been filled.
-func (v *View) SetDiscovered() {
+func (v *View) SetDiscovered() { v.signal(v.discovered) }
+
+// signal closes a channel of the view unless it is closed already.
+func (v *View) signal(c chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.IsDiscovered() {
-		close(v.discovered)
+	if !isClosed(c) {
+		close(c)
 	}
 }
 
@@ -136,13 +139,7 @@
 func (v *View) Witness() <-chan struct{} { return v.witness }
 
 // SetWitness records that the node is a witness.
-func (v *View) SetWitness() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.IsWitness() {
-		close(v.witness)
-	}
-}
+func (v *View) SetWitness() { v.signal(v.witness) }
 
 // learnFrom records that the view holds all that the view of the sender of a message does.
 func (v *View) learnFrom(m Message) {
--- a/process/node/departures.go
+++ b/process/node/departures.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -131,24 +130,15 @@
 // closed then. Each call of the target is a reason to try at once.
 func (t *target) storeInBackground() <-chan struct{} {
 	stored := make(chan struct{})
-	go func() {
-		delay := minRetryDelay
-		for t.ctx.Err() == nil && !t.node.view.Self().Gone {
-			ctx, cancel := context.WithTimeout(t.ctx, storeAttemptTimeout)
-			isStored := t.store(ctx)
-			cancel()
-			if isStored {
-				close(stored)
-				return
-			}
-			select {
-			case <-t.ctx.Done():
-			case <-t.called:
-			case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(delay))):
-				delay = min(2*delay, maxRetryDelay)
-			}
+	go retryWhen(t.ctx, func() <-chan struct{} { return t.called }, func() bool {
+		ctx, cancel := context.WithTimeout(t.ctx, storeAttemptTimeout)
+		defer cancel()
+		isStored := t.store(ctx)
+		if isStored {
+			close(stored)
 		}
-	}()
+		return isStored || t.node.view.Self().Gone
+	})
 	return stored
 }
 
--- a/process/node/departures_test.go
+++ b/process/node/departures_test.go
@@ -24,6 +24,18 @@
 	})
 }
 
+// addAnnouncedVM adds a silent VM whose target has announced itself, so that its gate is open.
+func (f *fleet) addAnnouncedVM() (*vm, *target.Announcer) {
+	f.t.Helper()
+	v := f.addSilentVM()
+	s := silentTarget(v, "i-first")
+	if err := s.Announce(f.t.Context(), "ready", 1); err != nil {
+		f.t.Fatal(err)
+	}
+	f.awaitStatus(v, `"gate_open":true`)
+	return v, s
+}
+
 // silentTarget returns an incarnation of the target of a silent VM that starts now.
 func silentTarget(v *vm, instance string) *target.Announcer {
 	return &target.Announcer{AdminAddress: v.settings.Admin, Instance: instance, Service: "s", Address: v.settings.Target, Slots: 3, StartedAt: time.Now()}
@@ -92,10 +104,7 @@
 			is := is.New(t)
 			f := newFleet(t, test.others)
 			f.publish(1)
-			v := f.addSilentVM()
-			s := silentTarget(v, "i-first")
-			is.NoErr(s.Announce(t.Context(), "ready", 1))
-			f.awaitStatus(v, open)
+			v, s := f.addAnnouncedVM()
 			time.Sleep(1500 * time.Millisecond) // the nodes know each other
 			f.store.SetFaults(store.Faults{Outage: test.storeFails})
 			leaveUntilConfirmed(t, func() error { return test.leave(s) })
@@ -134,10 +143,7 @@
 	is := is.New(t)
 	f := newFleet(t, 0)
 	f.publish(1)
-	v := f.addSilentVM()
-	s := silentTarget(v, "i-first")
-	is.NoErr(s.Announce(t.Context(), "ready", 1))
-	f.awaitStatus(v, `"gate_open":true`)
+	v, s := f.addAnnouncedVM()
 	f.store.SetFaults(store.Faults{Outage: true})
 	isNotHeld := func(err error) {
 		is.True(errors.Is(err, target.ErrNotConfirmed))
@@ -177,10 +183,7 @@
 	is := is.New(t)
 	f := newFleet(t, 0)
 	f.publish(1)
-	v := f.addSilentVM()
-	first := silentTarget(v, "i-first")
-	is.NoErr(first.Announce(t.Context(), "ready", 1))
-	f.awaitStatus(v, `"gate_open":true`)
+	v, first := f.addAnnouncedVM()
 	is.NoErr(first.Leave(t.Context(), true))
 	f.kill(v)
 	f.startNode(v)
--- a/process/node/doubt_test.go
+++ b/process/node/doubt_test.go
@@ -38,10 +38,7 @@
 			is := is.New(t)
 			f := newFleet(t, 3)
 			f.publish(1)
-			v := f.addSilentVM()
-			s := silentTarget(v, "i-first")
-			is.NoErr(s.Announce(t.Context(), "ready", 1))
-			f.awaitStatus(v, open)
+			v, s := f.addAnnouncedVM()
 			for _, other := range f.vms {
 				f.awaitStatus(other, `"nodes":4`)
 			}
--- a/process/node/join.go
+++ b/process/node/join.go
@@ -141,18 +141,18 @@
 	retryWhen(ctx, func() <-chan struct{} { return nil }, call)
 }
 
-// retryWhen is retry that also calls when the channel is closed that changed returned before
-// the last attempt, without a delay.
-func retryWhen(ctx context.Context, changed func() <-chan struct{}, call func() bool) {
+// retryWhen is retry that also calls without a delay when the channel that woken returned
+// before the last attempt is closed or delivers a value.
+func retryWhen(ctx context.Context, woken func() <-chan struct{}, call func() bool) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		isChanged := changed()
+		isWoken := woken()
 		if call() {
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-isChanged:
+		case <-isWoken:
 		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(delay))):
 			delay = min(maxRetryDelay, 2*delay)
 		}
--- a/process/quota/discovery_test.go
+++ b/process/quota/discovery_test.go
@@ -9,7 +9,6 @@
 	"github.com/cuminwheel/cuminwheel/process/membership"
 	"github.com/cuminwheel/cuminwheel/version/customer"
 	"github.com/matryer/is"
-	"pgregory.net/rapid"
 )
 
 // hide starts a node that knows only itself, and discovers the others after a time.
@@ -55,18 +54,7 @@
 // customer, while they cannot learn of the others: whatever else happens, each window of 5 s
 // stays within the quota rule.
 func TestRuleHoldsWhileNodesAreUndiscovered(t *testing.T) {
-	kinds := []string{"load", "one", "all", "some", "join unread", "restart unread", "join"}
-	rapid.Check(t, func(rt *rapid.T) {
-		s := drawSchedule(rt, kinds)
-		fault := ""
-		synctest.Test(t, func(*testing.T) {
-			f, changes := s.play()
-			fault = checkRule(f.runs["a"], changes)
-		})
-		if fault != "" {
-			rt.Fatalf("%s: %+v", fault, s)
-		}
-	})
+	checkSchedules(t, "load", "one", "all", "some", "join unread", "restart unread", "join")
 }
 
 // Guards against callers that wait in vain for a token at a node that knows nobody who could
--- a/process/quota/rule_test.go
+++ b/process/quota/rule_test.go
@@ -217,7 +217,11 @@
 // killed, frozen, restarted, added, removed or reconfigured, and wherever the requests
 // arrive, each window of 5 s stays within the quota rule.
 func TestRuleHoldsInEveryWindow(t *testing.T) {
-	kinds := []string{"load", "one", "all", "some", "region", "rate", "regions cut", "cut", "one way", "freeze home", "kill", "kill home", "join", "leave"}
+	checkSchedules(t, "load", "one", "all", "some", "region", "rate", "regions cut", "cut", "one way", "freeze home", "kill", "kill home", "join", "leave")
+}
+
+// checkSchedules plays random schedules of events of the kinds and checks the rule in each.
+func checkSchedules(t *testing.T, kinds ...string) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawSchedule(rt, kinds)
 		fault := ""
--- a/standin/caller/status_test.go
+++ b/standin/caller/status_test.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -25,10 +23,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			address, closeListener, err := rawpeer.Listen(func(c *net.TCPConn) {
-				// The caller reads nothing further once it has the response.
-				_, _ = io.WriteString(c, "HTTP/1.1 "+test.status+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-			})
+			address, closeListener, err := rawpeer.ListenWith("HTTP/1.1 " + test.status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 			is.NoErr(err)
 			defer closeListener()
 			l, closeLoad := New(Workload{Entries: []string{address}, Host: "h", Paths: []string{"/x"}, Rate: 1, Until: time.Now().Add(100 * time.Millisecond), Timeout: time.Second, MaxInFlight: 1, Seed: 1})
--- a/standin/rawpeer/rawpeer.go
+++ b/standin/rawpeer/rawpeer.go
@@ -2,7 +2,10 @@
 // need not be HTTP.
 package rawpeer
 
-import "net"
+import (
+	"io"
+	"net"
+)
 
 // requestBytes is how much of a request is read before it is answered, at most.
 const requestBytes = 4096
@@ -27,6 +30,14 @@
 	return l.Addr().String(), func() { l.Close() }, nil
 }
 
+// ListenWith is Listen with the same response to each connection.
+func ListenWith(response string) (address string, closeListener func(), err error) {
+	return Listen(func(c *net.TCPConn) {
+		// The peer reads nothing further once it has the response.
+		_, _ = io.WriteString(c, response)
+	})
+}
+
 func serve(conn *net.TCPConn, respond func(*net.TCPConn)) {
 	defer conn.Close()
 	if _, err := conn.Read(make([]byte, requestBytes)); err == nil {
