quota: a restarted home gets no bucket of an earlier outage

Cause: a node that stood in for a home kept its account after the home was back, and the account filled while the home granted. When the home restarted once more it asked for what was left, and got a full bucket.

Change: a bucket that was handed over stays empty for the node that got it; a stand-in hands over only what it granted from in the last second. Otherwise the home begins empty at its start, as without a stand-in. A first form asked whether the stand-in still held the home for unreachable; it was dropped, since the stand-in most often finds the home back before the home asks, and both would have counted the time between.

Result: TestRestartedHomeGetsNoBucketOfAnEarlierOutage fails in its three cases with the former code (954 to 1,012 requests of 900) and passes.

--- a/process/quota/handover.go
+++ b/process/quota/handover.go
@@ -51,11 +51,11 @@
 		return h.forward(reply.MovedTo, request)
 	case !ok:
 		// The former home may still grant; nothing but the time from now on is this node's.
-		a.since, a.bucket = now, bucket{at: now}
+		a.begin(now, 0)
 	case reply.HasBucket:
-		a.since, a.bucket = now, bucket{level: reply.Level, at: now}
+		a.begin(now, reply.Level)
 	default:
-		a.since, a.bucket = since, bucket{at: since}
+		a.begin(since, 0)
 	}
 	h.mu.Unlock()
 	return h.grant(request, since)
@@ -90,18 +90,31 @@
 // release replies to a node that has become the customer's home: with what is left in
 // the bucket, or with the node that has the bucket. The caller holds mu.
 func (h *Home) release(a *account, request TakeRequest, share float64, now time.Time) TakeReply {
+	wasHome := h.wasHome(a.candidates, request.NewHome, now)
 	switch {
-	case a.movedUntil.After(now) && a.movedTo != request.NewHome:
+	case a.movedTo == request.NewHome:
+		// It has restarted, or lost the reply. What has come in since was for it to grant.
+		return TakeReply{HasBucket: true}
+	case a.movedUntil.After(now):
 		return TakeReply{MovedTo: a.movedTo}
-	case a.since.IsZero() && h.wasHome(a.candidates, request.NewHome, now):
+	case a.since.IsZero() && wasHome:
 		a.since = homeSince(request.Name, h.self, h.homeFrom, h.removals)
 		a.bucket.at = a.since
 	case !a.since.IsZero() && outranks(request.Name, h.self, request.NewHome):
 		return TakeReply{MovedTo: h.self}
+	case !wasHome && now.Sub(a.bucket.at) > checkMemory:
+		// The bucket is from an earlier outage, after which another node has granted.
+		return TakeReply{}
 	}
 	return a.moveTo(request.NewHome, share, now)
 }
 
+// begin starts the bucket of a node that grants from now on.
+func (a *account) begin(since time.Time, level float64) {
+	a.since, a.bucket = since, bucket{level: level, at: since}
+	a.movedTo, a.movedUntil = "", time.Time{}
+}
+
 // moveTo gives the bucket to the customer's new home.
 func (a *account) moveTo(address string, share float64, now time.Time) TakeReply {
 	if !a.since.IsZero() {
--- a/process/quota/home.go
+++ b/process/quota/home.go
@@ -221,7 +221,7 @@
 	a := h.accountOf(request, now)
 	switch {
 	case a.since.Before(since):
-		a.since, a.bucket, a.movedUntil = since, bucket{at: since}, time.Time{}
+		a.begin(since, 0)
 	case a.movedUntil.After(now):
 		return TakeReply{NotHome: true}
 	}
