--- a/process/quota/handover_test.go
+++ b/process/quota/handover_test.go
@@ -51,6 +51,7 @@
 				time.AfterFunc(restart, func() { f.restart(home) })
 				f.load(who, 10*time.Second)
 				time.Sleep(12 * time.Second)
+				synctest.Wait()
 				if most, limit := mostRuns(f.runs["a"]), limitOf(who.RequestsPerSecond, who.Burst); float64(most) > limit {
 					t.Errorf("%d requests ran in %v, allowed are %v", most, ruleWindow, limit)
 				}
