--- a/process/quota/handover.go
+++ b/process/quota/handover.go
@@ -109,7 +109,8 @@
 	return a.moveTo(request.NewHome, share, now)
 }
 
-// begin starts the bucket of a node that grants from now on.
+// begin starts the bucket of a node that grants from then on, and forgets whom it gave an
+// earlier one to.
 func (a *account) begin(since time.Time, level float64) {
 	a.since, a.bucket = since, bucket{level: level, at: since}
 	a.movedTo, a.movedUntil = "", time.Time{}
--- a/process/quota/home.go
+++ b/process/quota/home.go
@@ -78,7 +78,8 @@
 	viewVersion uint64
 	// isMoving means that a call for the bucket of the former home is in progress.
 	isMoving bool
-	// movedTo is the new home that has taken the bucket.
+	// movedTo is the new home that has taken the bucket. Calls are passed on to it until
+	// movedUntil; it gets no second bucket after that either.
 	movedTo    string
 	movedUntil time.Time
 }
