quota: one check of the rule in tests; cases of undiscovered nodes as a table

Read again as a newcomer: the test of restarted homes counted the requests of each window once more (mostRuns), since checkRule knew quotas only whose burst is their rate; and the cases of undiscovered nodes built their events with two conditions inside a loop.

Change: quotaChange has a burst and checkRule the limit that follows from both; mostRuns is gone. With burst = rate, as in all random schedules, the limit is the same number as before (it grows with both). The eight cases are a table.

--- a/process/quota/discovery_test.go
+++ b/process/quota/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,22 +57,20 @@
 // nodes while some of them have just started.
 func TestUndiscoveredNodesGrantNoSecondQuota(t *testing.T) {
 	const overload, outage = 8, 6 * time.Second
-	for _, kind := range []string{"restart unread", "join unread"} {
-		for count := 1; count <= 4; count++ {
-			t.Run(fmt.Sprintf("%s %d", kind, count), func(t *testing.T) {
+	for count := 1; count <= 4; count++ {
+		tests := []struct {
+			name   string
+			starts []event
+		}{
+			{"restart", []event{{Kind: "restart unread", Count: count, Lasts: outage}}},
+			{"join", slices.Repeat([]event{{Kind: "join unread", Lasts: outage}}, count)},
+		}
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%d nodes %s", count, tt.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					s := schedule{Nodes: 8, Seed: uint64(count), Rate: 71, Age: time.Minute}
-					s.Events = []event{{Kind: "load", Load: overload, Pause: 3 * time.Second}}
-					if kind == "restart unread" {
-						s.Events = append(s.Events, event{Kind: kind, Count: count, Lasts: outage})
-					}
-					for range count {
-						if kind == "join unread" {
-							s.Events = append(s.Events, event{Kind: kind, Lasts: outage})
-						}
-					}
-					s.Events = append(s.Events, event{Kind: "all", Pause: outage + 4*time.Second})
-					f, changes := s.play()
+					events := append([]event{{Kind: "load", Load: overload, Pause: 3 * time.Second}}, tt.starts...)
+					events = append(events, event{Kind: "all", Pause: outage + 4*time.Second})
+					f, changes := schedule{Nodes: 8, Seed: uint64(count), Rate: 71, Age: time.Minute, Events: events}.play()
 					if fault := checkRule(f.runs["a"], changes); fault != "" {
 						t.Error(fault)
 					}
--- a/process/quota/handover_test.go
+++ b/process/quota/handover_test.go
@@ -40,6 +40,7 @@
 				f := newFleet(6, 1)
 				who := customer.Customer{Name: "a", RequestsPerSecond: 100, Burst: 300}
 				f.setQuota(who, 0)
+				started := time.Now()
 				time.Sleep(15 * time.Second)
 				address := elect(f.nodes[0].view.Nodes(), who.Name)[0]
 				home := f.nodes[slices.IndexFunc(f.nodes, func(n *simNode) bool { return n.record.ControlAddress == address })]
@@ -52,8 +53,8 @@
 				f.load(who, 10*time.Second)
 				time.Sleep(12 * time.Second)
 				synctest.Wait()
-				if most, limit := mostRuns(f.runs["a"]), limitOf(who.RequestsPerSecond, who.Burst); float64(most) > limit {
-					t.Errorf("%d requests ran in %v, allowed are %v", most, ruleWindow, limit)
+				if fault := checkRule(f.runs["a"], []quotaChange{{started, who.RequestsPerSecond, who.Burst}}); fault != "" {
+					t.Error(fault)
 				}
 			})
 		})
@@ -67,16 +68,3 @@
 		f.request(f.nodes[f.events.IntN(len(f.nodes))], who.Name)
 	}
 }
-
-// mostRuns returns how many requests ran in the fullest window.
-func mostRuns(runs []time.Time) int {
-	slices.SortFunc(runs, time.Time.Compare)
-	most, from := 0, 0
-	for i, at := range runs {
-		for at.Sub(runs[from]) >= ruleWindow {
-			from++
-		}
-		most = max(most, i-from+1)
-	}
-	return most
-}
--- a/process/quota/rule_test.go
+++ b/process/quota/rule_test.go
@@ -20,8 +20,8 @@
 
 // quotaChange is a quota and from when it applies.
 type quotaChange struct {
-	at   time.Time
-	rate float64
+	at          time.Time
+	rate, burst float64
 }
 
 // applyTime is the time within which all nodes apply a configuration.
@@ -37,16 +37,16 @@
 			from++
 		}
 		// Until a lower rate has reached all nodes, the higher one counts.
-		highest := 0.0
+		limit := limitOf(0, 0)
 		for k, c := range changes {
 			ended := k+1 < len(changes) && changes[k+1].at.Add(applyTime).Before(at.Add(-ruleWindow))
 			if !ended && !c.at.After(at) {
-				highest = max(highest, c.rate)
+				limit = max(limit, limitOf(c.rate, c.burst))
 			}
 		}
-		if over := float64(i-from+1) - limitOf(highest, highest); over > worst {
+		if over := float64(i-from+1) - limit; over > worst {
 			worst = over
-			result = fmt.Sprintf("%d requests ran in the 5 s before %v, %.0f above the limit of rate %v", i-from+1, at, over, highest)
+			result = fmt.Sprintf("%d requests ran in the 5 s before %v, allowed are %.1f", i-from+1, at, limit)
 		}
 	}
 	return result
@@ -99,7 +99,7 @@
 	f := newFleet(s.Nodes, s.Seed)
 	who := customer.Customer{Name: "a", RequestsPerSecond: s.Rate, Burst: s.Rate}
 	f.setQuota(who, 0)
-	changes := []quotaChange{{time.Now(), s.Rate}}
+	changes := []quotaChange{{time.Now(), s.Rate, s.Rate}}
 	time.Sleep(s.Age)
 	focus, load := f.nodes, 1.0
 	for _, e := range s.Events {
@@ -118,7 +118,7 @@
 			}
 		case "rate":
 			who.RequestsPerSecond, who.Burst = e.Rate, e.Rate
-			changes = append(changes, quotaChange{time.Now(), e.Rate})
+			changes = append(changes, quotaChange{time.Now(), e.Rate, e.Rate})
 			f.setQuota(who, applyTime)
 		default:
 			f.fault(e)
