--- /dev/null
+++ b/review/third/traffic.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// drain is the bound of the same name in the settings.
+const drain = 3 * time.Second
+
+// traffic sends requests to the nodes in turn until the returned function is called. A third
+// of them is not idempotent.
+func (f *fleet) traffic(nodes []*node, perSecond int) (stop func()) {
+	ended := make(chan struct{})
+	var pending sync.WaitGroup
+	pending.Add(1)
+	go func() {
+		defer pending.Done()
+		start := time.Now()
+		for i := 0; ; {
+			for due := int(time.Since(start).Seconds() * float64(perSecond)); i < due; i++ {
+				method, path := "GET", "/ledger/safe/x"
+				if i/len(nodes)%3 == 0 {
+					method, path = "POST", "/ledger/non_idempotent/x"
+				}
+				n, unique := nodes[i%len(nodes)], fmt.Sprintf("?n=%d", i)
+				pending.Go(func() {
+					a := n.send(method, "roster.example", path+unique, "", 2*time.Second, nil)
+					if a.status != 200 || a.err != nil {
+						f.record.printf("requester: %s at node %d answered %d %s", a.id, n.index, a.status, trim(a.err))
+					}
+				})
+			}
+			select {
+			case <-ended:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		pending.Wait()
+	}
+}
